--- /dev/null
+++ b/include/wasabispar/net/http_types.hpp
@@ -0,0 +1,52 @@
+/// @file
+/// @brief HTTP messages as plain values, so that Boost.Beast stays out of the headers.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace wasabispar {
+
+/// @brief One header field.
+struct HttpHeader
+{
+  std::string mName;
+  std::string mValue;
+};
+
+/// @brief A request, received or to be sent.
+struct HttpRequest
+{
+  /// `GET`, `POST` or another method in upper case.
+  std::string mMethod = "GET";
+  /// Path with query string, for example `/v1/watch?after=3`.
+  std::string mTarget = "/";
+  std::vector<HttpHeader> mHeaders;
+  std::string mBody;
+  /// Address of the other side as `ip:port`; set on received requests only.
+  std::string mPeer;
+
+  /// @brief The path of mTarget without the query string.
+  std::string_view Path() const;
+  /// @brief The value of parameter @p aName in the query string; empty if absent.
+  std::string QueryParameter(std::string_view aName) const;
+  /// @brief The value of header @p aName, compared without case; empty if absent.
+  std::string_view Header(std::string_view aName) const;
+};
+
+/// @brief A response, received or to be sent.
+struct HttpResponse
+{
+  unsigned mStatus = 200;
+  std::string mContentType = "application/json";
+  std::vector<HttpHeader> mHeaders;
+  std::string mBody;
+  /// Closes the connection after this response.
+  bool mClose = false;
+
+  std::string_view Header(std::string_view aName) const;
+};
+
+} // namespace wasabispar
--- /dev/null
+++ b/src/wasabispar/base/log.cpp
@@ -0,0 +1,112 @@
+/// @file
+/// @brief Structured logs on log4cxx.
+#include "wasabispar/base/log.hpp"
+
+#include <boost/json/serialize.hpp>
+#include <boost/json/string.hpp>
+#include <log4cxx/basicconfigurator.h>
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/patternlayout.h>
+
+#include <algorithm>
+#include <atomic>
+
+namespace wasabispar {
+
+namespace {
+
+std::atomic<LogFormat> gFormat{ LogFormat::KeyValue };
+
+log4cxx::LoggerPtr
+Logger()
+{
+  static const log4cxx::LoggerPtr kLogger = log4cxx::Logger::getLogger("wasabispar");
+  return kLogger;
+}
+
+log4cxx::LevelPtr
+ToLevel(LogLevel aLevel)
+{
+  switch (aLevel) {
+    case LogLevel::Debug:
+      return log4cxx::Level::getDebug();
+    case LogLevel::Info:
+      return log4cxx::Level::getInfo();
+    case LogLevel::Warning:
+      return log4cxx::Level::getWarn();
+    case LogLevel::Error:
+      break;
+  }
+  return log4cxx::Level::getError();
+}
+
+std::string
+Quoted(std::string_view aText)
+{
+  return boost::json::serialize(boost::json::string(aText));
+}
+
+/// A value that needs no quotes in the key=value form.
+bool
+IsPlain(std::string_view aText)
+{
+  return !aText.empty() && std::all_of(aText.begin(), aText.end(), [](char aChar) {
+    return aChar > ' ' && aChar != '"' && aChar != '=' && aChar != '\\' && aChar < 127;
+  });
+}
+
+} // namespace
+
+std::string
+FormatLogEvent(LogFormat aFormat, std::string_view aEvent,
+               std::initializer_list<LogField> aFields)
+{
+  if (aFormat == LogFormat::Json) {
+    std::string line = "{\"event\":" + Quoted(aEvent);
+    for (const auto& field : aFields) {
+      line += "," + Quoted(field.mKey) + ":" + Quoted(field.mValue);
+    }
+    return line + "}";
+  }
+  std::string line = "event=" + std::string(aEvent);
+  for (const auto& field : aFields) {
+    line += " " + field.mKey + "=" +
+            (IsPlain(field.mValue) ? field.mValue : Quoted(field.mValue));
+  }
+  return line;
+}
+
+void
+ConfigureLog(LogLevel aLevel, LogFormat aFormat)
+{
+  gFormat = aFormat;
+  const log4cxx::LayoutPtr layout(new log4cxx::PatternLayout(
+    aFormat == LogFormat::Json
+      ? "{\"time\":\"%d{yyyy-MM-ddTHH:mm:ss.SSS}\",\"level\":\"%p\",%m%n"
+      : "%d{yyyy-MM-ddTHH:mm:ss.SSS} %p %m%n"));
+  const log4cxx::AppenderPtr appender(
+    new log4cxx::ConsoleAppender(layout, log4cxx::ConsoleAppender::getSystemErr()));
+  log4cxx::BasicConfigurator::resetConfiguration();
+  log4cxx::BasicConfigurator::configure(appender);
+  Logger()->setLevel(ToLevel(aLevel));
+}
+
+void
+LogEvent(LogLevel aLevel, std::string_view aEvent,
+         std::initializer_list<LogField> aFields)
+{
+  const auto logger = Logger();
+  const auto level = ToLevel(aLevel);
+  if (!logger->isEnabledFor(level)) {
+    return;
+  }
+  const auto format = gFormat.load();
+  auto line = FormatLogEvent(format, aEvent, aFields);
+  if (format == LogFormat::Json) {
+    line.erase(0, 1); // The layout writes the opening brace with time and level.
+  }
+  logger->forcedLog(level, line);
+}
+
+} // namespace wasabispar
--- /dev/null
+++ b/tests/test_main.cpp
@@ -0,0 +1,4 @@
+/// @file
+/// @brief Entry point of each doctest executable.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
