Add the HTTP server and client connection

The server bounds header, body, time and connections and reports each refusal by reason. The client connection carries one exchange at a time and is closed after any exchange that did not end with a response, so a late response cannot be read as the answer to the next request. Before an exchange it checks whether the other side closed the idle connection, so that this case is known to have sent nothing.

Tests against each other on loopback cover limits, time-outs and graceful stop.

--- a/include/wasabispar/net/http_server.hpp
+++ b/include/wasabispar/net/http_server.hpp
@@ -51,10 +51,8 @@
 class HttpServer
 {
 public:
-  HttpServer(std::vector<boost::asio::io_context*> aWorkers,
-             HttpServerOptions aOptions,
-             HttpHandlerFn aHandler,
-             HttpRejectionFn aOnRejection = nullptr);
+  HttpServer(std::vector<boost::asio::io_context*> aWorkers, HttpServerOptions aOptions,
+             HttpHandlerFn aHandler, HttpRejectionFn aOnRejection = nullptr);
   /// Closes the listener and all connections.
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
@@ -65,14 +63,19 @@
   Result<void> Start();
   /// @brief The bound port; 0 before Start().
   std::uint16_t Port() const;
-  /// @brief Closes the listener. Open connections finish their running request and are
-  /// closed after it; idle ones are closed at once.
+  /// @brief From now on each response closes its connection, so that clients reconnect
+  /// elsewhere. The listener stays open.
+  void BeginDrain();
+  /// @brief Takes what waits in the listen backlog, then closes the listener. Running
+  /// requests finish; idle connections are closed after a short time in which a request
+  /// that is already under way is still served.
   void StopAccepting();
   /// @brief Requests whose response has not been written completely.
   std::size_t RunningRequests() const;
   std::size_t OpenConnections() const;
 
 private:
+  friend class HttpSession;
   struct State;
   std::shared_ptr<State> mState;
 };
--- /dev/null
+++ b/src/wasabispar/net/http_client.cpp
@@ -0,0 +1,261 @@
+/// @file
+/// @brief HttpConnection on Boost.Beast.
+#include "wasabispar/net/http_client.hpp"
+
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include <sys/socket.h>
+
+#include <atomic>
+#include <cerrno>
+#include <charconv>
+#include <optional>
+
+namespace wasabispar {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+
+namespace {
+
+/// Largest response body that is read; the platform's values go up to 1 MB each.
+constexpr std::uint64_t kMaxResponseBytes = 64ULL * 1024 * 1024;
+
+class HttpConnectionImpl final : public HttpConnection
+{
+public:
+  HttpConnectionImpl(asio::io_context& aContext, Endpoint aEndpoint)
+    : mEndpoint(std::move(aEndpoint))
+    , mStream(aContext)
+  {
+  }
+
+  void Open(Duration aTimeout, OpenFn aDone) override
+  {
+    asio::dispatch(mStream.get_executor(),
+                   [self = Self(), aTimeout, done = std::move(aDone)]() mutable {
+                     self->OpenOnWorker(aTimeout, std::move(done));
+                   });
+  }
+
+  void Exchange(HttpRequest aRequest, Duration aTimeout, ExchangeFn aDone) override
+  {
+    asio::dispatch(mStream.get_executor(), [self = Self(), request = std::move(aRequest),
+                                            aTimeout, done = std::move(aDone)]() mutable {
+      self->ExchangeOnWorker(std::move(request), aTimeout, std::move(done));
+    });
+  }
+
+  void Close() override
+  {
+    mUsable = false;
+    mClosing = true;
+    asio::dispatch(mStream.get_executor(), [self = Self()] { self->mStream.close(); });
+  }
+
+  bool IsUsable() const override { return mUsable; }
+
+private:
+  const Endpoint mEndpoint;
+  std::atomic<bool> mUsable{ false };
+  std::atomic<bool> mClosing{ false };
+
+  /// Used on the connection's worker only. Invariant: mDone is set while an exchange
+  /// runs.
+  beast::tcp_stream mStream;
+  beast::flat_buffer mBuffer;
+  http::request<http::string_body> mRequest;
+  std::optional<http::response_parser<http::string_body>> mParser;
+  ExchangeFn mDone;
+
+  std::shared_ptr<HttpConnectionImpl> Self()
+  {
+    return std::static_pointer_cast<HttpConnectionImpl>(shared_from_this());
+  }
+
+  void OpenOnWorker(Duration aTimeout, OpenFn aDone)
+  {
+    beast::error_code error;
+    const auto address = asio::ip::make_address(mEndpoint.mAddress, error);
+    if (error || mClosing) {
+      aDone(false, mClosing ? "closed" : "not an IP address");
+      return;
+    }
+    mStream.expires_after(aTimeout);
+    mStream.async_connect(
+      tcp::endpoint(address, mEndpoint.mPort),
+      [self = Self(), done = std::move(aDone)](beast::error_code aError) {
+        if (aError || self->mClosing) {
+          self->mStream.close();
+          done(false, aError ? aError.message() : "closed");
+          return;
+        }
+        beast::error_code ignored;
+        self->mStream.socket().set_option(tcp::no_delay(true), ignored);
+        self->mStream.expires_never();
+        self->mUsable = true;
+        done(true, {});
+      });
+  }
+
+  /// True if the other side closed the connection while no exchange ran, or sent bytes
+  /// that belong to no request.
+  bool WasClosedWhileIdle()
+  {
+    char byte = 0;
+    const auto got =
+      ::recv(mStream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+  }
+
+  void ExchangeOnWorker(HttpRequest aRequest, Duration aTimeout, ExchangeFn aDone)
+  {
+    mDone = std::move(aDone);
+    if (mClosing) {
+      End(ExchangeStatus::Cancelled, "closed before the exchange");
+      return;
+    }
+    if (!mUsable || WasClosedWhileIdle()) {
+      End(ExchangeStatus::ConnectFailed, "connection closed by the other side");
+      return;
+    }
+    mRequest = {};
+    mRequest.method_string(aRequest.mMethod);
+    mRequest.target(aRequest.mTarget);
+    mRequest.version(11);
+    mRequest.set(http::field::host, mEndpoint.Text());
+    for (const auto& header : aRequest.mHeaders) {
+      mRequest.set(header.mName, header.mValue);
+    }
+    if (!aRequest.mBody.empty()) {
+      mRequest.set(http::field::content_type, "application/json");
+      mRequest.body() = std::move(aRequest.mBody);
+    }
+    mRequest.prepare_payload();
+    mParser.emplace();
+    mParser->body_limit(kMaxResponseBytes);
+    mStream.expires_after(aTimeout);
+    http::async_write(mStream, mRequest,
+                      [self = Self()](beast::error_code aError, std::size_t) {
+                        if (aError) {
+                          self->Fail(aError);
+                          return;
+                        }
+                        self->ReadResponse();
+                      });
+  }
+
+  void ReadResponse()
+  {
+    http::async_read(mStream, mBuffer, *mParser,
+                     [self = Self()](beast::error_code aError, std::size_t) {
+                       if (aError) {
+                         self->Fail(aError);
+                         return;
+                       }
+                       self->Complete();
+                     });
+  }
+
+  void Complete()
+  {
+    mStream.expires_never();
+    auto message = mParser->release();
+    if (!message.keep_alive()) {
+      mUsable = false;
+      mStream.close();
+    }
+    ExchangeResult result;
+    result.mStatus = ExchangeStatus::Response;
+    result.mResponse.mStatus = message.result_int();
+    for (const auto& field : message) {
+      result.mResponse.mHeaders.push_back(
+        { std::string(field.name_string()), std::string(field.value()) });
+    }
+    result.mResponse.mBody = std::move(message.body());
+    std::exchange(mDone, nullptr)(std::move(result));
+  }
+
+  void Fail(beast::error_code aError)
+  {
+    if (mClosing) {
+      End(ExchangeStatus::Cancelled, "cancelled");
+    } else if (aError == beast::error::timeout) {
+      End(ExchangeStatus::TimedOut, "timed out");
+    } else {
+      End(ExchangeStatus::ConnectionLost, aError.message());
+    }
+  }
+
+  void End(ExchangeStatus aStatus, std::string aCause)
+  {
+    mUsable = false;
+    mStream.close();
+    std::exchange(mDone, nullptr)(ExchangeResult{ aStatus, {}, std::move(aCause) });
+  }
+};
+
+} // namespace
+
+std::string
+Endpoint::Text() const
+{
+  return mAddress + ":" + std::to_string(mPort);
+}
+
+Result<Endpoint>
+Endpoint::Parse(std::string_view aText)
+{
+  const auto colon = aText.rfind(':');
+  Endpoint endpoint;
+  beast::error_code error;
+  if (colon != std::string_view::npos) {
+    endpoint.mAddress = std::string(aText.substr(0, colon));
+    asio::ip::make_address(endpoint.mAddress, error);
+    const auto* begin = aText.data() + colon + 1;
+    const auto* end = aText.data() + aText.size();
+    const auto parsed = std::from_chars(begin, end, endpoint.mPort);
+    if (!error && begin != end && parsed.ec == std::errc{} && parsed.ptr == end) {
+      return endpoint;
+    }
+  }
+  return Fail({ Step::Settings, std::string(aText), Outcome::NotRun, "not ip:port" });
+}
+
+std::shared_ptr<HttpConnection>
+HttpConnection::Create(asio::io_context& aContext, Endpoint aEndpoint)
+{
+  return std::make_shared<HttpConnectionImpl>(aContext, std::move(aEndpoint));
+}
+
+void
+HttpFetch(asio::io_context& aContext, const Endpoint& aEndpoint, HttpRequest aRequest,
+          Duration aTimeout, HttpConnection::ExchangeFn aDone)
+{
+  const auto connection = HttpConnection::Create(aContext, aEndpoint);
+  const auto deadline = BootClock::now() + aTimeout;
+  connection->Open(
+    aTimeout, [connection, deadline, request = std::move(aRequest),
+               done = std::move(aDone)](bool aOpened, std::string aCause) mutable {
+      if (!aOpened) {
+        done({ ExchangeStatus::ConnectFailed, {}, std::move(aCause) });
+        return;
+      }
+      const auto left =
+        std::max<Duration>(deadline - BootClock::now(), std::chrono::milliseconds(1));
+      connection->Exchange(std::move(request), left,
+                           [connection, done = std::move(done)](ExchangeResult aResult) {
+                             connection->Close();
+                             done(std::move(aResult));
+                           });
+    });
+}
+
+} // namespace wasabispar
--- /dev/null
+++ b/src/wasabispar/net/http_server.cpp
@@ -0,0 +1,458 @@
+/// @file
+/// @brief HttpServer on Boost.Beast: one session object per connection.
+#include "wasabispar/net/http_server.hpp"
+
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include <atomic>
+#include <mutex>
+#include <optional>
+#include <unordered_map>
+
+namespace wasabispar {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+
+namespace {
+
+/// Time that a connection without a request stays open after StopAccepting(); covers a
+/// request that the client has sent but that has not arrived yet.
+constexpr auto kStopLinger = std::chrono::milliseconds(500);
+
+constexpr std::size_t kReadChunk = 4096;
+
+} // namespace
+
+class HttpSession;
+
+struct HttpServer::State : std::enable_shared_from_this<HttpServer::State>
+{
+  std::vector<asio::io_context*> mWorkers;
+  HttpServerOptions mOptions;
+  HttpHandlerFn mHandler;
+  HttpRejectionFn mOnRejection;
+
+  std::atomic<std::uint16_t> mPort{ 0 };
+  std::atomic<bool> mDraining{ false };
+  std::atomic<bool> mStopped{ false };
+  std::atomic<std::size_t> mRunning{ 0 };
+
+  /// Guards mSessions and mNextWorker.
+  mutable std::mutex mMutex;
+  std::unordered_map<HttpSession*, std::weak_ptr<HttpSession>> mSessions;
+  std::size_t mNextWorker = 0;
+
+  /// Used on worker 0 only, after Start().
+  std::optional<tcp::acceptor> mAcceptor;
+
+  void Accept();
+  void StartSession(tcp::socket aSocket);
+  void AcceptBacklogAndClose();
+  asio::io_context& NextWorker();
+  std::vector<std::shared_ptr<HttpSession>> Sessions() const;
+  void Reject(std::string_view aReason) const
+  {
+    if (mOnRejection) {
+      mOnRejection(aReason);
+    }
+  }
+};
+
+/// One connection. All members are used on the connection's worker only.
+class HttpSession : public std::enable_shared_from_this<HttpSession>
+{
+public:
+  HttpSession(std::shared_ptr<HttpServer::State> aServer, tcp::socket aSocket)
+    : mServer(std::move(aServer))
+    , mStream(std::move(aSocket))
+  {
+    beast::error_code error;
+    const auto remote = mStream.socket().remote_endpoint(error);
+    if (!error) {
+      mPeer = remote.address().to_string() + ":" + std::to_string(remote.port());
+    }
+    mStream.socket().set_option(tcp::no_delay(true), error);
+  }
+
+  ~HttpSession()
+  {
+    if (mHandling) {
+      --mServer->mRunning;
+    }
+    std::lock_guard lock(mServer->mMutex);
+    mServer->mSessions.erase(this);
+  }
+
+  void Start()
+  {
+    asio::dispatch(mStream.get_executor(),
+                   [self = shared_from_this()] { self->AwaitRequest(); });
+  }
+
+  void Stop()
+  {
+    asio::post(mStream.get_executor(), [self = shared_from_this()] {
+      if (!self->mHandling && !self->mReading) {
+        self->mStream.expires_after(kStopLinger);
+      }
+    });
+  }
+
+  void Abort()
+  {
+    asio::post(mStream.get_executor(), [self = shared_from_this()] { self->Close(); });
+  }
+
+private:
+  std::shared_ptr<HttpServer::State> mServer;
+  beast::tcp_stream mStream;
+  beast::flat_buffer mBuffer;
+  std::optional<http::request_parser<http::string_body>> mParser;
+  std::string mPeer;
+  /// True from the first byte of a request to its last.
+  bool mReading = false;
+  /// True from the last byte of a request to the last byte of its response; counted in
+  /// the server's mRunning.
+  bool mHandling = false;
+
+  void AwaitRequest()
+  {
+    if (mBuffer.size() > 0) {
+      ReadRequest();
+      return;
+    }
+    mStream.expires_after(mServer->mStopped ? Duration(kStopLinger)
+                                            : mServer->mOptions.mIdleTimeout);
+    mStream.async_read_some(
+      mBuffer.prepare(kReadChunk),
+      [self = shared_from_this()](beast::error_code aError, std::size_t aBytes) {
+        if (aError) {
+          self->Close();
+          return;
+        }
+        self->mBuffer.commit(aBytes);
+        self->ReadRequest();
+      });
+  }
+
+  void ReadRequest()
+  {
+    mReading = true;
+    mParser.emplace();
+    mParser->header_limit(static_cast<std::uint32_t>(mServer->mOptions.mMaxHeaderBytes));
+    mParser->body_limit(mServer->mOptions.mMaxBodyBytes);
+    mStream.expires_after(mServer->mOptions.mReadTimeout);
+    http::async_read(mStream, mBuffer, *mParser,
+                     [self = shared_from_this()](beast::error_code aError, std::size_t) {
+                       self->mReading = false;
+                       if (aError) {
+                         self->RefuseRead(aError);
+                       } else {
+                         self->Handle();
+                       }
+                     });
+  }
+
+  void RefuseRead(beast::error_code aError)
+  {
+    unsigned status = 400;
+    std::string_view reason = "malformed";
+    if (aError == beast::error::timeout) {
+      mServer->Reject("read-timeout");
+      Close();
+      return;
+    }
+    if (aError == http::error::end_of_stream || aError == asio::error::connection_reset ||
+        aError == asio::error::operation_aborted) {
+      Close();
+      return;
+    }
+    if (aError == http::error::header_limit) {
+      status = 431;
+      reason = "header-too-large";
+    } else if (aError == http::error::body_limit) {
+      status = 413;
+      reason = "body-too-large";
+    }
+    mServer->Reject(reason);
+    HttpResponse response;
+    response.mStatus = status;
+    response.mBody =
+      R"({"outcome":"not-run","error":{"step":"parse-request","peer":"","cause":")" +
+      std::string(reason) + "\"}}";
+    response.mHeaders.push_back({ "Wasabispar-Outcome", "not-run" });
+    response.mClose = true;
+    Write(std::move(response), 11, false);
+  }
+
+  void Handle()
+  {
+    mHandling = true;
+    ++mServer->mRunning;
+    mStream.expires_never();
+    auto message = mParser->release();
+    HttpRequest request;
+    request.mMethod = std::string(message.method_string());
+    request.mTarget = std::string(message.target());
+    for (const auto& field : message) {
+      request.mHeaders.push_back(
+        { std::string(field.name_string()), std::string(field.value()) });
+    }
+    request.mBody = std::move(message.body());
+    request.mPeer = mPeer;
+    mServer->mHandler(std::move(request),
+                      MakeResponder(message.version(), message.keep_alive()));
+  }
+
+  /// Closes the connection if the handler drops the responder without calling it.
+  struct Responder
+  {
+    std::shared_ptr<HttpSession> mSession;
+    unsigned mVersion;
+    bool mKeepAlive;
+    std::atomic<bool> mUsed{ false };
+
+    Responder(std::shared_ptr<HttpSession> aSession, unsigned aVersion, bool aKeepAlive)
+      : mSession(std::move(aSession))
+      , mVersion(aVersion)
+      , mKeepAlive(aKeepAlive)
+    {
+    }
+    ~Responder()
+    {
+      if (!mUsed) {
+        mSession->Abort();
+      }
+    }
+    void Respond(HttpResponse aResponse)
+    {
+      if (mUsed.exchange(true)) {
+        return;
+      }
+      asio::dispatch(mSession->mStream.get_executor(),
+                     [session = mSession, version = mVersion, keepAlive = mKeepAlive,
+                      response = std::move(aResponse)]() mutable {
+                       session->Write(std::move(response), version, keepAlive);
+                     });
+    }
+  };
+
+  HttpRespondFn MakeResponder(unsigned aVersion, bool aKeepAlive)
+  {
+    auto responder =
+      std::make_shared<Responder>(shared_from_this(), aVersion, aKeepAlive);
+    return
+      [responder](HttpResponse aResponse) { responder->Respond(std::move(aResponse)); };
+  }
+
+  void Write(HttpResponse aResponse, unsigned aVersion, bool aKeepAlive)
+  {
+    auto message = std::make_shared<http::response<http::string_body>>(
+      static_cast<http::status>(aResponse.mStatus), aVersion);
+    message->set(http::field::content_type, aResponse.mContentType);
+    for (const auto& header : aResponse.mHeaders) {
+      message->set(header.mName, header.mValue);
+    }
+    message->keep_alive(aKeepAlive && !aResponse.mClose && !mServer->mDraining);
+    message->body() = std::move(aResponse.mBody);
+    message->prepare_payload();
+    mStream.expires_after(mServer->mOptions.mReadTimeout);
+    http::async_write(
+      mStream, *message,
+      [self = shared_from_this(), message](beast::error_code aError, std::size_t) {
+        self->FinishResponse(!aError && message->keep_alive());
+      });
+  }
+
+  void FinishResponse(bool aKeepAlive)
+  {
+    if (mHandling) {
+      mHandling = false;
+      --mServer->mRunning;
+    }
+    if (aKeepAlive) {
+      AwaitRequest();
+      return;
+    }
+    beast::error_code ignored;
+    mStream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    Close();
+  }
+
+  void Close() { mStream.close(); }
+};
+
+void
+HttpServer::State::Accept()
+{
+  mAcceptor->async_accept(NextWorker(), [self = shared_from_this()](
+                                          beast::error_code aError, tcp::socket aSocket) {
+    if (!self->mAcceptor || !self->mAcceptor->is_open()) {
+      return;
+    }
+    if (!aError) {
+      self->StartSession(std::move(aSocket));
+    }
+    self->Accept();
+  });
+}
+
+asio::io_context&
+HttpServer::State::NextWorker()
+{
+  std::lock_guard lock(mMutex);
+  return *mWorkers[mNextWorker++ % mWorkers.size()];
+}
+
+void
+HttpServer::State::StartSession(tcp::socket aSocket)
+{
+  std::shared_ptr<HttpSession> session;
+  {
+    std::unique_lock lock(mMutex);
+    if (mSessions.size() >= mOptions.mMaxConnections) {
+      lock.unlock();
+      Reject("too-many-connections");
+      return;
+    }
+  }
+  session = std::make_shared<HttpSession>(shared_from_this(), std::move(aSocket));
+  {
+    std::lock_guard lock(mMutex);
+    mSessions.emplace(session.get(), session);
+  }
+  session->Start();
+}
+
+void
+HttpServer::State::AcceptBacklogAndClose()
+{
+  beast::error_code error;
+  mAcceptor->cancel(error);
+  mAcceptor->non_blocking(true, error);
+  while (!error) {
+    tcp::socket socket(NextWorker());
+    mAcceptor->accept(socket, error);
+    if (!error) {
+      StartSession(std::move(socket));
+    }
+  }
+  mAcceptor->close(error);
+}
+
+std::vector<std::shared_ptr<HttpSession>>
+HttpServer::State::Sessions() const
+{
+  std::lock_guard lock(mMutex);
+  std::vector<std::shared_ptr<HttpSession>> sessions;
+  for (const auto& [key, weak] : mSessions) {
+    if (auto session = weak.lock()) {
+      sessions.push_back(std::move(session));
+    }
+  }
+  return sessions;
+}
+
+HttpServer::HttpServer(std::vector<asio::io_context*> aWorkers,
+                       HttpServerOptions aOptions, HttpHandlerFn aHandler,
+                       HttpRejectionFn aOnRejection)
+  : mState(std::make_shared<State>())
+{
+  mState->mWorkers = std::move(aWorkers);
+  mState->mOptions = std::move(aOptions);
+  mState->mHandler = std::move(aHandler);
+  mState->mOnRejection = std::move(aOnRejection);
+}
+
+HttpServer::~HttpServer()
+{
+  StopAccepting();
+  for (const auto& session : mState->Sessions()) {
+    session->Abort();
+  }
+}
+
+Result<void>
+HttpServer::Start()
+{
+  const auto& options = mState->mOptions;
+  const auto text = options.mAddress + ":" + std::to_string(options.mPort);
+  beast::error_code error;
+  const auto address = asio::ip::make_address(options.mAddress, error);
+  if (error) {
+    return Fail({ Step::Settings, text, Outcome::NotRun, "not an IP address" });
+  }
+  const tcp::endpoint endpoint(address, options.mPort);
+  auto& acceptor = mState->mAcceptor.emplace(*mState->mWorkers.front());
+  acceptor.open(endpoint.protocol(), error);
+  if (!error) {
+    acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    acceptor.bind(endpoint, error);
+  }
+  if (!error) {
+    acceptor.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return Fail({ Step::Settings, text, Outcome::NotRun, error.message() });
+  }
+  mState->mPort = acceptor.local_endpoint().port();
+  asio::post(*mState->mWorkers.front(), [state = mState] { state->Accept(); });
+  return {};
+}
+
+std::uint16_t
+HttpServer::Port() const
+{
+  return mState->mPort;
+}
+
+void
+HttpServer::BeginDrain()
+{
+  mState->mDraining = true;
+}
+
+void
+HttpServer::StopAccepting()
+{
+  if (mState->mStopped.exchange(true)) {
+    return;
+  }
+  mState->mDraining = true;
+  if (!mState->mAcceptor) {
+    return;
+  }
+  asio::post(*mState->mWorkers.front(), [state = mState] {
+    if (state->mAcceptor->is_open()) {
+      state->AcceptBacklogAndClose();
+    }
+    for (const auto& session : state->Sessions()) {
+      session->Stop();
+    }
+  });
+}
+
+std::size_t
+HttpServer::RunningRequests() const
+{
+  return mState->mRunning;
+}
+
+std::size_t
+HttpServer::OpenConnections() const
+{
+  std::lock_guard lock(mState->mMutex);
+  return mState->mSessions.size();
+}
+
+} // namespace wasabispar
--- /dev/null
+++ b/src/wasabispar/net/http_test.cpp
@@ -0,0 +1,178 @@
+/// @file
+/// @brief Tests of the HTTP server and client against each other on loopback.
+#include "wasabispar/net/http_client.hpp"
+#include "wasabispar/net/http_server.hpp"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <doctest/doctest.h>
+
+#include <future>
+#include <thread>
+
+using namespace wasabispar;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+namespace {
+
+/// One worker thread with its io_context.
+struct Worker
+{
+  asio::io_context mContext{ 1 };
+  asio::executor_work_guard<asio::io_context::executor_type> mWork{
+    mContext.get_executor()
+  };
+  std::thread mThread{ [this] { mContext.run(); } };
+
+  ~Worker()
+  {
+    mWork.reset();
+    mContext.stop();
+    mThread.join();
+  }
+};
+
+ExchangeResult
+Fetch(Worker& aWorker, std::uint16_t aPort, HttpRequest aRequest, Duration aTimeout = 5s)
+{
+  std::promise<ExchangeResult> promise;
+  HttpFetch(aWorker.mContext, { "127.0.0.1", aPort }, std::move(aRequest), aTimeout,
+            [&](ExchangeResult aResult) { promise.set_value(std::move(aResult)); });
+  return promise.get_future().get();
+}
+
+/// Sends raw bytes and returns all that the server answers until it closes.
+std::string
+SendRaw(std::uint16_t aPort, const std::string& aBytes)
+{
+  asio::io_context context;
+  asio::ip::tcp::socket socket(context);
+  socket.connect({ asio::ip::make_address("127.0.0.1"), aPort });
+  boost::system::error_code error;
+  asio::write(socket, asio::buffer(aBytes), error);
+  std::string answer;
+  asio::read(socket, asio::dynamic_buffer(answer), error);
+  return answer;
+}
+
+} // namespace
+
+TEST_CASE("a request gets its own response over the connection")
+{
+  Worker worker;
+  HttpServer server(
+    { &worker.mContext }, {}, [](HttpRequest aRequest, HttpRespondFn aRespond) {
+      HttpResponse response;
+      response.mBody = aRequest.mMethod + " " + std::string(aRequest.Path()) + " " +
+                       aRequest.QueryParameter("a") + " " + aRequest.mBody;
+      aRespond(std::move(response));
+    });
+  REQUIRE(server.Start());
+  HttpRequest request{ "POST", "/x?a=1%202", {}, "body", {} };
+  const auto result = Fetch(worker, server.Port(), request);
+  CHECK(result.mStatus == ExchangeStatus::Response);
+  CHECK(result.mResponse.mBody == "POST /x 1 2 body");
+}
+
+TEST_CASE("malformed, oversized and slow requests are refused with a counted reason")
+{
+  // Guards against a request from outside that brings the process down or holds a
+  // connection for ever.
+  Worker worker;
+  std::mutex mutex;
+  std::vector<std::string> reasons;
+  HttpServerOptions options;
+  options.mMaxBodyBytes = 16;
+  options.mMaxHeaderBytes = 256;
+  options.mReadTimeout = 200ms;
+  HttpServer server(
+    { &worker.mContext }, options,
+    [](HttpRequest, HttpRespondFn aRespond) { aRespond({}); },
+    [&](std::string_view aReason) {
+      std::lock_guard lock(mutex);
+      reasons.emplace_back(aReason);
+    });
+  REQUIRE(server.Start());
+  CHECK(SendRaw(server.Port(), "\x01\x02garbage\r\n\r\n").find("400") !=
+        std::string::npos);
+  CHECK(
+    SendRaw(server.Port(), "GET / HTTP/1.1\r\nX: " + std::string(500, 'x') + "\r\n\r\n")
+      .find("431") != std::string::npos);
+  CHECK(
+    SendRaw(server.Port(), "POST / HTTP/1.1\r\nContent-Length: 17\r\n\r\n").find("413") !=
+    std::string::npos);
+  CHECK(SendRaw(server.Port(), "GET / HT") == "");
+  std::lock_guard lock(mutex);
+  CHECK(reasons == std::vector<std::string>{ "malformed", "header-too-large",
+                                             "body-too-large", "read-timeout" });
+}
+
+TEST_CASE("an exchange that times out closes its connection")
+{
+  // Guards against a late response that is read as the response to the next request.
+  Worker worker;
+  std::vector<HttpRespondFn> pending;
+  HttpServer server({ &worker.mContext }, {}, [&](HttpRequest, HttpRespondFn aRespond) {
+    pending.push_back(std::move(aRespond));
+  });
+  REQUIRE(server.Start());
+  const auto connection =
+    HttpConnection::Create(worker.mContext, { "127.0.0.1", server.Port() });
+  std::promise<bool> opened;
+  connection->Open(1s, [&](bool aOpened, std::string) { opened.set_value(aOpened); });
+  REQUIRE(opened.get_future().get());
+  const auto exchange = [&] {
+    std::promise<ExchangeStatus> status;
+    connection->Exchange(
+      {}, 100ms, [&](ExchangeResult aResult) { status.set_value(aResult.mStatus); });
+    return status.get_future().get();
+  };
+  CHECK(exchange() == ExchangeStatus::TimedOut);
+  CHECK_FALSE(connection->IsUsable());
+  CHECK(exchange() == ExchangeStatus::ConnectFailed);
+}
+
+TEST_CASE("a refused connection is reported as such, so that no byte can have left")
+{
+  Worker worker;
+  std::uint16_t port = 0;
+  {
+    HttpServer server({ &worker.mContext }, {}, [](HttpRequest, HttpRespondFn) {});
+    REQUIRE(server.Start());
+    port = server.Port();
+  }
+  std::this_thread::sleep_for(50ms);
+  CHECK(Fetch(worker, port, {}).mStatus == ExchangeStatus::ConnectFailed);
+}
+
+TEST_CASE("stopping serves the running request and what waits in the backlog")
+{
+  // Guards against a graceful shutdown that aborts a request.
+  Worker worker;
+  std::promise<void> arrived;
+  HttpRespondFn held;
+  HttpServer server({ &worker.mContext }, {},
+                    [&](HttpRequest aRequest, HttpRespondFn aRespond) {
+                      if (aRequest.Path() == "/held") {
+                        held = std::move(aRespond);
+                        arrived.set_value();
+                        return;
+                      }
+                      aRespond({});
+                    });
+  REQUIRE(server.Start());
+  std::promise<ExchangeStatus> status;
+  HttpFetch(worker.mContext, { "127.0.0.1", server.Port() },
+            HttpRequest{ "GET", "/held", {}, {}, {} }, 5s,
+            [&](ExchangeResult aResult) { status.set_value(aResult.mStatus); });
+  arrived.get_future().get();
+  CHECK(server.RunningRequests() == 1);
+  server.StopAccepting();
+  held(HttpResponse{});
+  CHECK(status.get_future().get() == ExchangeStatus::Response);
+}
--- /dev/null
+++ b/src/wasabispar/net/http_types.cpp
@@ -0,0 +1,99 @@
+/// @file
+/// @brief Access to parts of an HTTP message.
+#include "wasabispar/net/http_types.hpp"
+
+#include <algorithm>
+#include <cctype>
+
+namespace wasabispar {
+
+namespace {
+
+bool
+EqualsWithoutCase(std::string_view aLeft, std::string_view aRight)
+{
+  return std::equal(aLeft.begin(), aLeft.end(), aRight.begin(), aRight.end(),
+                    [](char aA, char aB) {
+                      return std::tolower(static_cast<unsigned char>(aA)) ==
+                             std::tolower(static_cast<unsigned char>(aB));
+                    });
+}
+
+std::string_view
+FindHeader(const std::vector<HttpHeader>& aHeaders, std::string_view aName)
+{
+  for (const auto& header : aHeaders) {
+    if (EqualsWithoutCase(header.mName, aName)) {
+      return header.mValue;
+    }
+  }
+  return {};
+}
+
+int
+HexDigit(char aChar)
+{
+  if (aChar >= '0' && aChar <= '9') {
+    return aChar - '0';
+  }
+  const auto lower = static_cast<char>(aChar | 0x20);
+  return lower >= 'a' && lower <= 'f' ? lower - 'a' + 10 : -1;
+}
+
+std::string
+PercentDecode(std::string_view aText)
+{
+  std::string decoded;
+  for (std::size_t i = 0; i < aText.size(); ++i) {
+    if (aText[i] == '%' && i + 2 < aText.size() && HexDigit(aText[i + 1]) >= 0 &&
+        HexDigit(aText[i + 2]) >= 0) {
+      decoded += static_cast<char>(HexDigit(aText[i + 1]) * 16 + HexDigit(aText[i + 2]));
+      i += 2;
+    } else {
+      decoded += aText[i] == '+' ? ' ' : aText[i];
+    }
+  }
+  return decoded;
+}
+
+} // namespace
+
+std::string_view
+HttpRequest::Path() const
+{
+  return std::string_view(mTarget).substr(0, mTarget.find('?'));
+}
+
+std::string
+HttpRequest::QueryParameter(std::string_view aName) const
+{
+  const auto question = mTarget.find('?');
+  if (question == std::string::npos) {
+    return {};
+  }
+  std::string_view rest = std::string_view(mTarget).substr(question + 1);
+  while (!rest.empty()) {
+    const auto pair = rest.substr(0, rest.find('&'));
+    const auto equals = pair.find('=');
+    if (pair.substr(0, equals) == aName) {
+      return equals == std::string_view::npos ? std::string{}
+                                              : PercentDecode(pair.substr(equals + 1));
+    }
+    rest.remove_prefix(std::min(rest.size(), pair.size() + 1));
+  }
+  return {};
+}
+
+std::string_view
+HttpRequest::Header(std::string_view aName) const
+{
+  return FindHeader(mHeaders, aName);
+}
+
+std::string_view
+HttpResponse::Header(std::string_view aName) const
+{
+  return FindHeader(mHeaders, aName);
+}
+
+} // namespace wasabispar
