--- a/cmake/WasabisparLayer.cmake
+++ b/cmake/WasabisparLayer.cmake
@@ -29,6 +29,8 @@
     add_executable(${NAME}_test ${TESTS} ${CMAKE_SOURCE_DIR}/tests/test_main.cpp)
     target_include_directories(${NAME}_test PRIVATE ${CMAKE_SOURCE_DIR}/src
                                ${CMAKE_SOURCE_DIR}/tests)
+    target_compile_definitions(${NAME}_test PRIVATE
+                               WASABISPAR_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
     target_link_libraries(${NAME}_test PRIVATE wasabispar::${NAME} rapidcheck)
     add_test(NAME ${NAME} COMMAND ${NAME}_test)
     # One fixed rapidcheck seed, so that each run gives the same verdict.
