--- a/include/wasabispar/base/timer_service.hpp
+++ b/include/wasabispar/base/timer_service.hpp
@@ -53,6 +53,10 @@
   /// apart than @p aThreshold.
   Subscription OnPause(Duration aThreshold, PauseFn aFn);
 
+  /// @brief Sets a function that is called, without a lock held and on the thread that
+  /// adds the timer, when a new timer becomes the next one due.
+  void OnEarlierTimer(TimerFn aFn);
+
   /// @brief Runs what is due; returns the number of callbacks that ran.
   std::size_t RunDue();
   /// @brief When the next timer is due; empty when there is none.
--- a/include/wasabispar/net/http_client.hpp
+++ b/include/wasabispar/net/http_client.hpp
@@ -32,7 +32,7 @@
 };
 
 /// @brief How an exchange ended.
-enum class ExchangeStatus
+enum class HttpExchangeEnd
 {
   /// A complete response arrived.
   Response,
@@ -46,9 +46,9 @@
   Cancelled,
 };
 
-struct ExchangeResult
+struct HttpExchangeResult
 {
-  ExchangeStatus mStatus = ExchangeStatus::ConnectFailed;
+  HttpExchangeEnd mEnd = HttpExchangeEnd::ConnectFailed;
   HttpResponse mResponse;
   /// The cause in words; empty for Response.
   std::string mCause;
@@ -63,7 +63,7 @@
 {
 public:
   using OpenFn = std::function<void(bool aOpened, std::string aCause)>;
-  using ExchangeFn = std::function<void(ExchangeResult)>;
+  using ExchangeFn = std::function<void(HttpExchangeResult)>;
 
   static std::shared_ptr<HttpConnection> Create(boost::asio::io_context& aContext,
                                                 Endpoint aEndpoint);
--- a/include/wasabispar/net/json_reader.hpp
+++ b/include/wasabispar/net/json_reader.hpp
@@ -16,9 +16,8 @@
 
 /// @brief Parses @p aText as a JSON object, nested at most 32 levels deep. Fails with
 /// @p aStep and @p aPeer.
-Result<boost::json::object> ParseJsonObject(std::string_view aText,
-                                            Step aStep,
-                                            const std::string& aPeer);
+Result<boost::json::object>
+ParseJsonObject(std::string_view aText, Step aStep, const std::string& aPeer);
 
 /// @brief Reads fields of one object. After the first failure all reads return default
 /// values; check Status() once at the end.
--- a/include/wasabispar/net/platform_client.hpp
+++ b/include/wasabispar/net/platform_client.hpp
@@ -55,36 +55,35 @@
 };
 
 /// @brief The platform's list; it lags behind what is live.
-struct PlatformList
+struct PlatformInventory
 {
   std::vector<PlatformVm> mVms;
   std::vector<PlatformUpstream> mUpstreams;
 };
 
 /// @brief Parses the body of a values or watch response.
-Result<PlatformValues> ParsePlatformValues(std::string_view aBody,
-                                           const std::string& aPeer);
+Result<PlatformValues>
+ParsePlatformValues(std::string_view aBody, const std::string& aPeer);
 
 /// @brief Parses the body of a list response.
-Result<PlatformList> ParsePlatformList(std::string_view aBody, const std::string& aPeer);
+Result<PlatformInventory>
+ParsePlatformInventory(std::string_view aBody, const std::string& aPeer);
 
 /// @brief Makes calls to the platform. Callbacks run on the io_context.
 class PlatformClient
 {
 public:
   using ValuesFn = std::function<void(std::optional<PlatformValues>, Error)>;
-  using ListFn = std::function<void(std::optional<PlatformList>, Error)>;
+  using InventoryFn = std::function<void(std::optional<PlatformInventory>, Error)>;
 
   PlatformClient(boost::asio::io_context& aContext, Endpoint aPlatform);
 
   /// @brief Reads all values whose key starts with @p aPrefix.
   void ReadValues(const std::string& aPrefix, ValuesFn aDone);
   /// @brief Waits up to @p aWait for values that changed after @p aAfter.
-  void WatchValues(const std::string& aPrefix,
-                   Revision aAfter,
-                   Duration aWait,
+  void WatchValues(const std::string& aPrefix, Revision aAfter, Duration aWait,
                    ValuesFn aDone);
-  void ReadList(ListFn aDone);
+  void ReadInventory(InventoryFn aDone);
 
   /// @brief Calls made since the start; each one counts against the platform's limit.
   std::uint64_t Calls() const { return mCalls; }
--- a/src/wasabispar/base/timer_service.cpp
+++ b/src/wasabispar/base/timer_service.cpp
@@ -57,14 +57,20 @@
   std::map<std::pair<TimePoint, TimerId>, TimerId> mQueue;
   std::map<TimerId, PauseWatch> mPauseWatches;
   std::optional<TimePoint> mLastRun;
+  std::shared_ptr<TimerFn> mOnEarlier;
 
   TimerId Add(Duration aDelay, Duration aPeriod, TimerFn aFn)
   {
     const auto due = mNow() + aDelay;
-    std::lock_guard lock(mMutex);
+    std::unique_lock lock(mMutex);
     const auto id = mNextId++;
     mTimers[id] = { due, aPeriod, std::make_shared<TimerFn>(std::move(aFn)) };
     mQueue[{ due, id }] = id;
+    const auto onEarlier = mQueue.begin()->second == id ? mOnEarlier : nullptr;
+    lock.unlock();
+    if (onEarlier) {
+      (*onEarlier)();
+    }
     return id;
   }
 
@@ -159,6 +165,13 @@
   return CancelOf(mState, id);
 }
 
+void
+TimerService::OnEarlierTimer(TimerFn aFn)
+{
+  std::lock_guard lock(mState->mMutex);
+  mState->mOnEarlier = std::make_shared<TimerFn>(std::move(aFn));
+}
+
 std::size_t
 TimerService::RunDue()
 {
--- a/src/wasabispar/net/http_client.cpp
+++ b/src/wasabispar/net/http_client.cpp
@@ -119,11 +119,11 @@
   {
     mDone = std::move(aDone);
     if (mClosing) {
-      End(ExchangeStatus::Cancelled, "closed before the exchange");
+      End(HttpExchangeEnd::Cancelled, "closed before the exchange");
       return;
     }
     if (!mUsable || WasClosedWhileIdle()) {
-      End(ExchangeStatus::ConnectFailed, "connection closed by the other side");
+      End(HttpExchangeEnd::ConnectFailed, "connection closed by the other side");
       return;
     }
     mRequest = {};
@@ -172,8 +172,8 @@
       mUsable = false;
       mStream.close();
     }
-    ExchangeResult result;
-    result.mStatus = ExchangeStatus::Response;
+    HttpExchangeResult result;
+    result.mEnd = HttpExchangeEnd::Response;
     result.mResponse.mStatus = message.result_int();
     for (const auto& field : message) {
       result.mResponse.mHeaders.push_back(
@@ -186,19 +186,19 @@
   void Fail(beast::error_code aError)
   {
     if (mClosing) {
-      End(ExchangeStatus::Cancelled, "cancelled");
+      End(HttpExchangeEnd::Cancelled, "cancelled");
     } else if (aError == beast::error::timeout) {
-      End(ExchangeStatus::TimedOut, "timed out");
+      End(HttpExchangeEnd::TimedOut, "timed out");
     } else {
-      End(ExchangeStatus::ConnectionLost, aError.message());
+      End(HttpExchangeEnd::ConnectionLost, aError.message());
     }
   }
 
-  void End(ExchangeStatus aStatus, std::string aCause)
+  void End(HttpExchangeEnd aStatus, std::string aCause)
   {
     mUsable = false;
     mStream.close();
-    std::exchange(mDone, nullptr)(ExchangeResult{ aStatus, {}, std::move(aCause) });
+    std::exchange(mDone, nullptr)(HttpExchangeResult{ aStatus, {}, std::move(aCause) });
   }
 };
 
@@ -245,16 +245,17 @@
     aTimeout, [connection, deadline, request = std::move(aRequest),
                done = std::move(aDone)](bool aOpened, std::string aCause) mutable {
       if (!aOpened) {
-        done({ ExchangeStatus::ConnectFailed, {}, std::move(aCause) });
+        done({ HttpExchangeEnd::ConnectFailed, {}, std::move(aCause) });
         return;
       }
       const auto left =
         std::max<Duration>(deadline - BootClock::now(), std::chrono::milliseconds(1));
-      connection->Exchange(std::move(request), left,
-                           [connection, done = std::move(done)](ExchangeResult aResult) {
-                             connection->Close();
-                             done(std::move(aResult));
-                           });
+      connection->Exchange(
+        std::move(request), left,
+        [connection, done = std::move(done)](HttpExchangeResult aResult) {
+          connection->Close();
+          done(std::move(aResult));
+        });
     });
 }
 
--- a/src/wasabispar/net/http_test.cpp
+++ b/src/wasabispar/net/http_test.cpp
@@ -37,12 +37,12 @@
   }
 };
 
-ExchangeResult
+HttpExchangeResult
 Fetch(Worker& aWorker, std::uint16_t aPort, HttpRequest aRequest, Duration aTimeout = 5s)
 {
-  std::promise<ExchangeResult> promise;
+  std::promise<HttpExchangeResult> promise;
   HttpFetch(aWorker.mContext, { "127.0.0.1", aPort }, std::move(aRequest), aTimeout,
-            [&](ExchangeResult aResult) { promise.set_value(std::move(aResult)); });
+            [&](HttpExchangeResult aResult) { promise.set_value(std::move(aResult)); });
   return promise.get_future().get();
 }
 
@@ -75,7 +75,7 @@
   REQUIRE(server.Start());
   HttpRequest request{ "POST", "/x?a=1%202", {}, "body", {} };
   const auto result = Fetch(worker, server.Port(), request);
-  CHECK(result.mStatus == ExchangeStatus::Response);
+  CHECK(result.mEnd == HttpExchangeEnd::Response);
   CHECK(result.mResponse.mBody == "POST /x 1 2 body");
 }
 
@@ -127,14 +127,14 @@
   connection->Open(1s, [&](bool aOpened, std::string) { opened.set_value(aOpened); });
   REQUIRE(opened.get_future().get());
   const auto exchange = [&] {
-    std::promise<ExchangeStatus> status;
+    std::promise<HttpExchangeEnd> status;
     connection->Exchange(
-      {}, 100ms, [&](ExchangeResult aResult) { status.set_value(aResult.mStatus); });
+      {}, 100ms, [&](HttpExchangeResult aResult) { status.set_value(aResult.mEnd); });
     return status.get_future().get();
   };
-  CHECK(exchange() == ExchangeStatus::TimedOut);
+  CHECK(exchange() == HttpExchangeEnd::TimedOut);
   CHECK_FALSE(connection->IsUsable());
-  CHECK(exchange() == ExchangeStatus::ConnectFailed);
+  CHECK(exchange() == HttpExchangeEnd::ConnectFailed);
 }
 
 TEST_CASE("a refused connection is reported as such, so that no byte can have left")
@@ -147,7 +147,7 @@
     port = server.Port();
   }
   std::this_thread::sleep_for(50ms);
-  CHECK(Fetch(worker, port, {}).mStatus == ExchangeStatus::ConnectFailed);
+  CHECK(Fetch(worker, port, {}).mEnd == HttpExchangeEnd::ConnectFailed);
 }
 
 TEST_CASE("stopping serves the running request and what waits in the backlog")
@@ -166,13 +166,13 @@
                       aRespond({});
                     });
   REQUIRE(server.Start());
-  std::promise<ExchangeStatus> status;
+  std::promise<HttpExchangeEnd> status;
   HttpFetch(worker.mContext, { "127.0.0.1", server.Port() },
             HttpRequest{ "GET", "/held", {}, {}, {} }, 5s,
-            [&](ExchangeResult aResult) { status.set_value(aResult.mStatus); });
+            [&](HttpExchangeResult aResult) { status.set_value(aResult.mEnd); });
   arrived.get_future().get();
   CHECK(server.RunningRequests() == 1);
   server.StopAccepting();
   held(HttpResponse{});
-  CHECK(status.get_future().get() == ExchangeStatus::Response);
+  CHECK(status.get_future().get() == HttpExchangeEnd::Response);
 }
--- a/src/wasabispar/net/platform_client.cpp
+++ b/src/wasabispar/net/platform_client.cpp
@@ -72,21 +72,17 @@
 /// Passes the parsed body of @p aResult, or the error, to @p aDone.
 template<class Value, class ParseFn, class DoneFn>
 void
-Deliver(const ExchangeResult& aResult,
-        const std::string& aPeer,
-        ParseFn aParse,
+Deliver(const HttpExchangeResult& aResult, const std::string& aPeer, ParseFn aParse,
         const DoneFn& aDone)
 {
   Error failure;
   std::optional<Value> value = HandleError(
     [&]() -> Result<std::optional<Value>> {
-      if (aResult.mStatus != ExchangeStatus::Response) {
+      if (aResult.mEnd != HttpExchangeEnd::Response) {
         return Fail({ Step::Platform, aPeer, Outcome::NotRun, aResult.mCause });
       }
       if (aResult.mResponse.mStatus != 200) {
-        return Fail({ Step::Platform,
-                      aPeer,
-                      Outcome::NotRun,
+        return Fail({ Step::Platform, aPeer, Outcome::NotRun,
                       "status " + std::to_string(aResult.mResponse.mStatus) });
       }
       BOOST_LEAF_AUTO(parsed, aParse(aResult.mResponse.mBody, aPeer));
@@ -124,15 +120,15 @@
   return values;
 }
 
-Result<PlatformList>
-ParsePlatformList(std::string_view aBody, const std::string& aPeer)
+Result<PlatformInventory>
+ParsePlatformInventory(std::string_view aBody, const std::string& aPeer)
 {
   BOOST_LEAF_AUTO(object, ParseJsonObject(aBody, Step::Platform, aPeer));
   JsonReader reader(object, Step::Platform, aPeer);
   const auto& vms = reader.Array("vms");
   const auto& upstreams = reader.Array("upstreams");
   BOOST_LEAF_CHECK(reader.Status());
-  PlatformList list;
+  PlatformInventory list;
   BOOST_LEAF_AUTO(vmObjects, ObjectsOf(vms, aPeer));
   for (const auto& vm : vmObjects) {
     BOOST_LEAF_AUTO(parsed, ParseVm(vm, aPeer));
@@ -158,13 +154,11 @@
   ++mCalls;
   HttpRequest request;
   request.mTarget = aTarget;
-  HttpFetch(mContext,
-            mPlatform,
-            std::move(request),
-            aTimeout,
-            [peer = mPlatform.Text(), done = std::move(aDone)](ExchangeResult aResult) {
-              Deliver<PlatformValues>(aResult, peer, ParsePlatformValues, done);
-            });
+  HttpFetch(
+    mContext, mPlatform, std::move(request), aTimeout,
+    [peer = mPlatform.Text(), done = std::move(aDone)](HttpExchangeResult aResult) {
+      Deliver<PlatformValues>(aResult, peer, ParsePlatformValues, done);
+    });
 }
 
 void
@@ -174,31 +168,25 @@
 }
 
 void
-PlatformClient::WatchValues(const std::string& aPrefix,
-                            Revision aAfter,
-                            Duration aWait,
+PlatformClient::WatchValues(const std::string& aPrefix, Revision aAfter, Duration aWait,
                             ValuesFn aDone)
 {
-  FetchValues("/v1/watch?prefix=" + aPrefix +
-                "&after=" + std::to_string(aAfter.Value()) +
+  FetchValues("/v1/watch?prefix=" + aPrefix + "&after=" + std::to_string(aAfter.Value()) +
                 "&timeout_ms=" + std::to_string(ToMilliseconds(aWait)),
-              aWait + kCallTimeout,
-              std::move(aDone));
+              aWait + kCallTimeout, std::move(aDone));
 }
 
 void
-PlatformClient::ReadList(ListFn aDone)
+PlatformClient::ReadInventory(InventoryFn aDone)
 {
   ++mCalls;
   HttpRequest request;
   request.mTarget = "/v1/vms";
-  HttpFetch(mContext,
-            mPlatform,
-            std::move(request),
-            kCallTimeout,
-            [peer = mPlatform.Text(), done = std::move(aDone)](ExchangeResult aResult) {
-              Deliver<PlatformList>(aResult, peer, ParsePlatformList, done);
-            });
+  HttpFetch(
+    mContext, mPlatform, std::move(request), kCallTimeout,
+    [peer = mPlatform.Text(), done = std::move(aDone)](HttpExchangeResult aResult) {
+      Deliver<PlatformInventory>(aResult, peer, ParsePlatformInventory, done);
+    });
 }
 
 } // namespace wasabispar
--- /dev/null
+++ b/src/wasabispar/net/worker.cpp
@@ -0,0 +1,127 @@
+/// @file
+/// @brief Worker on Boost.Asio.
+#include "wasabispar/net/worker.hpp"
+
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <thread>
+
+namespace wasabispar {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// The timer service runs at least this often, so that a longer gap between two runs
+/// means that the process was paused.
+constexpr Duration kHeartbeat = std::chrono::milliseconds(100);
+
+} // namespace
+
+struct Worker::State
+{
+  asio::io_context mContext{ 1 };
+  asio::executor_work_guard<asio::io_context::executor_type> mWork{
+    mContext.get_executor()
+  };
+  TimerService mTimers{ [] { return BootClock::now(); } };
+  asio::steady_timer mWake{ mContext };
+  std::thread mThread;
+
+  /// Arms mWake for the next timer. Runs on the worker.
+  void Arm()
+  {
+    auto delay = kHeartbeat;
+    if (const auto due = mTimers.NextDue()) {
+      delay = std::clamp<Duration>(*due - BootClock::now(), Duration{}, kHeartbeat);
+    }
+    mWake.expires_after(std::chrono::duration_cast<asio::steady_timer::duration>(delay));
+    mWake.async_wait([this](boost::system::error_code aError) {
+      if (!aError) {
+        mTimers.RunDue();
+        Arm();
+      }
+    });
+  }
+};
+
+Worker::Worker()
+  : mState(std::make_unique<State>())
+{
+  auto& state = *mState;
+  state.mTimers.OnEarlierTimer(
+    [&state] { asio::post(state.mContext, [&state] { state.Arm(); }); });
+  asio::post(state.mContext, [&state] { state.Arm(); });
+  state.mThread = std::thread([&state] { state.mContext.run(); });
+}
+
+Worker::~Worker()
+{
+  Stop();
+}
+
+asio::io_context&
+Worker::Context()
+{
+  return mState->mContext;
+}
+
+TimerService&
+Worker::Timers()
+{
+  return mState->mTimers;
+}
+
+void
+Worker::Post(std::function<void()> aFn)
+{
+  asio::post(mState->mContext, std::move(aFn));
+}
+
+void
+Worker::Dispatch(std::function<void()> aFn)
+{
+  asio::dispatch(mState->mContext, std::move(aFn));
+}
+
+void
+Worker::Stop()
+{
+  mState->mWork.reset();
+  mState->mContext.stop();
+  if (mState->mThread.joinable()) {
+    mState->mThread.join();
+  }
+}
+
+WorkerPool::WorkerPool(std::size_t aCount)
+{
+  for (std::size_t i = 0; i < aCount; ++i) {
+    mWorkers.push_back(std::make_unique<Worker>());
+  }
+}
+
+std::vector<asio::io_context*>
+WorkerPool::Contexts()
+{
+  std::vector<asio::io_context*> contexts;
+  for (const auto& worker : mWorkers) {
+    contexts.push_back(&worker->Context());
+  }
+  return contexts;
+}
+
+void
+WorkerPool::Stop()
+{
+  for (const auto& worker : mWorkers) {
+    worker->Stop();
+  }
+}
+
+} // namespace wasabispar
