--- /dev/null
+++ b/include/wasabispar/query/query.hpp
@@ -0,0 +1,226 @@
+/// @file
+/// @brief The state machine of one running search.
+#pragma once
+
+#include "wasabispar/base/clock.hpp"
+#include "wasabispar/base/error.hpp"
+#include "wasabispar/base/ids.hpp"
+#include "wasabispar/base/units.hpp"
+#include "wasabispar/query/coverage.hpp"
+#include "wasabispar/query/explain.hpp"
+#include "wasabispar/query/load_budget.hpp"
+#include "wasabispar/query/merge.hpp"
+#include "wasabispar/upstream/exchange_status.hpp"
+#include "wasabispar/upstream/replica_choice.hpp"
+#include "wasabispar/upstream/snapshot_directory.hpp"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace wasabispar {
+
+/// @brief When a query that is not complete answers.
+enum class PartialPolicy : std::uint8_t
+{
+  /// At the latency target if the minimum coverage is reached, else when it is reached,
+  /// at the latest at the deadline. Until the target it waits for all shards.
+  AnswerAtTarget,
+  /// When the wanted coverage is reached, at the latest at the deadline.
+  WaitForCoverage,
+};
+
+/// @brief What to search and the promises to keep.
+struct QueryPlan
+{
+  VmId mVm;
+  RequestId mRequest;
+  /// The version that the query is pinned to.
+  Snapshot mSnapshot;
+  PartialPolicy mPolicy = PartialPolicy::AnswerAtTarget;
+  TimePoint mTarget;
+  TimePoint mDeadline;
+  Permille mWanted{ 1000 };
+  /// Below it the query ends with a refusal.
+  Permille mMinimum{ 0 };
+  bool mHedging = true;
+  /// False: no hedge, and no retry after a byte may have left.
+  bool mIdempotent = true;
+  /// Suspected of crashing upstreams: one sub-request at a time, no hedge, no retry.
+  bool mIsolated = false;
+  /// Hits to return.
+  std::size_t mLimit = 10;
+};
+
+/// @brief The decisions that depend on more than one query. Called on the strand of the
+/// query, without a lock held.
+struct QueryHooks
+{
+  std::function<ReplicaChoice(const ReplicaRequest&, TimePoint aNow)> mChooseReplica;
+  /// Delay after which a sub-request is hedged; empty: no hedge.
+  std::function<std::optional<Duration>(const IndexName&, TimePoint aNow)> mHedgeDelay;
+  /// Takes a token for an extra sub-request; see LoadBudget::TryTake().
+  std::function<bool(ExtraLoad, TimePoint aNow)> mTakeBudget;
+  /// Counts first tries; see LoadBudget::OnNeeded().
+  std::function<void(std::uint64_t)> mCountNeeded;
+  /// Counts extra sub-requests without budget; see LoadBudget::TakeForced().
+  std::function<void(std::uint64_t)> mCountForced;
+  /// The snapshot for a replan; see SnapshotDirectory::Choose().
+  std::function<std::optional<Snapshot>(const IndexName&, Permille aWanted,
+                                        TimePoint aNow)>
+    mChooseSnapshot;
+};
+
+/// @brief Hooks that refuse all extra load and find no replica; a base to set from.
+QueryHooks
+DefaultQueryHooks();
+
+/// @brief Hooks on the parts of this process, all of which outlive the query.
+/// @p aQuantile is the latency quantile after which a sub-request is hedged.
+QueryHooks
+MakeQueryHooks(const UpstreamTable& aTable, const SnapshotDirectory& aDirectory,
+               LoadBudget& aBudget, RandomFn aRandom, Permille aQuantile = Permille(950));
+
+/// @brief Send a sub-request.
+struct SendSub
+{
+  /// Unique in the query, also across replans.
+  std::uint64_t mSub = 0;
+  SnapshotVersion mVersion;
+  ShardId mShard;
+  UpstreamId mUpstream;
+  SubKind mKind = SubKind::First;
+  TimePoint mDeadline;
+};
+
+/// @brief The reply is not needed; cancel it at the upstream.
+struct CancelSub
+{
+  std::uint64_t mSub = 0;
+  UpstreamId mUpstream;
+};
+
+/// @brief Call OnTimer() at that time; replaces the timer armed before.
+struct ArmTimer
+{
+  TimePoint mAt;
+};
+
+/// @brief The end of a query.
+struct Answer
+{
+  RequestId mRequest;
+  SnapshotVersion mVersion;
+  Coverage mCoverage;
+  /// Not all shards answered.
+  bool mPartial = false;
+  /// Empty for a refusal.
+  std::vector<Hit> mHits;
+  /// Set for a refusal; the coverage is then what was reached.
+  std::optional<Error> mRefusal;
+  ExplainRecord mExplain;
+};
+
+/// @brief The query is over. The last action that it returns.
+struct Finish
+{
+  Answer mAnswer;
+};
+
+using QueryAction = std::variant<SendSub, CancelSub, ArmTimer, Finish>;
+
+/// @brief The end of a sub-request, direct or forwarded through another VM.
+struct SubReply
+{
+  std::uint64_t mSub = 0;
+  ExchangeStatus mStatus = ExchangeStatus::Ok;
+  /// What the reply itself says; counts only for Ok.
+  SnapshotVersion mVersion;
+  ShardId mShard;
+  std::vector<Hit> mHits;
+};
+
+/// @brief One running search. Events in, actions out; belongs to one strand.
+///
+/// Invariants: exactly one Finish; one version in an answer; each shard counts at most
+/// once; no SendSub after the deadline or after Finish. An event at or after the deadline
+/// ends the query; a reply that arrives with it still counts.
+class Query
+{
+public:
+  /// A query is replanned at a newer version at most this often.
+  static constexpr std::uint32_t kMaxReplans = 2;
+  /// Retries of one shard at one version.
+  static constexpr std::uint32_t kMaxRetries = 2;
+  /// Pause before a shard without a usable replica is looked at again.
+  static constexpr Duration kRecheck = std::chrono::milliseconds(20);
+
+  Query(QueryPlan aPlan, QueryHooks aHooks);
+
+  std::vector<QueryAction> Start(TimePoint aNow);
+  std::vector<QueryAction> OnReply(const SubReply& aReply, TimePoint aNow);
+  std::vector<QueryAction> OnTimer(TimePoint aNow);
+  /// @brief No upstream holds the pinned version any more.
+  std::vector<QueryAction> OnSnapshotGone(TimePoint aNow);
+
+  bool IsFinished() const { return mFinished; }
+  /// @brief The record so far; complete after Finish.
+  const ExplainRecord& Explain() const { return mExplain; }
+
+private:
+  struct ShardState
+  {
+    std::vector<UpstreamId> mTried;
+    /// Sub-requests without a reply; indices of mExplain.mSubs.
+    std::vector<std::size_t> mOpen;
+    std::uint32_t mRetries = 0;
+    bool mHedged = false;
+    bool mSent = false;
+    /// When a hedge is due; empty: none.
+    std::optional<TimePoint> mHedgeAt;
+    /// The last end allows a retry on another replica.
+    bool mMayRetry = true;
+    /// Why the shard has not answered.
+    std::string mWhy;
+  };
+  using Actions = std::vector<QueryAction>;
+
+  void BeginVersion(TimePoint aNow, Actions& aActions);
+  void SendFirst(TimePoint aNow, Actions& aActions);
+  void Advance(TimePoint aNow, Actions& aActions);
+  bool Send(const ShardId& aShard, ShardState& aState, SubKind aKind, std::string aWhy,
+            const ReplicaChoice& aChoice, TimePoint aNow, Actions& aActions);
+  ReplicaChoice Choose(const ShardId& aShard, const ShardState& aState, SubKind aKind,
+                       TimePoint aNow);
+  void TryRetry(const ShardId& aShard, ShardState& aState, TimePoint aNow,
+                Actions& aActions);
+  void TryHedge(const ShardId& aShard, ShardState& aState, TimePoint aNow,
+                Actions& aActions);
+  bool TryReplan(TimePoint aNow, Actions& aActions);
+  void Count(const SubReply& aReply, ExplainSub& aSub, Actions& aActions);
+  void CancelOpen(ShardState& aState, TimePoint aNow, Actions& aActions);
+  bool MayFinish(TimePoint aNow) const;
+  void FinishNow(TimePoint aNow, Actions& aActions);
+  void Arm(TimePoint aNow, Actions& aActions);
+  bool AnyMayHaveRun() const;
+
+  QueryPlan mPlan;
+  QueryHooks mHooks;
+  ExplainRecord mExplain;
+  Coverage mCoverage;
+  std::map<ShardId, ShardState> mShards;
+  std::map<ShardId, std::vector<Hit>> mHits;
+  std::uint64_t mNextSub = 1;
+  std::uint32_t mReplans = 0;
+  bool mStarted = false;
+  bool mFinished = false;
+  /// The pinned version is gone; replan as soon as there is a newer one.
+  bool mSnapshotGone = false;
+  /// When shards without a usable replica are looked at again.
+  std::optional<TimePoint> mRecheckAt;
+  std::optional<TimePoint> mArmed;
+};
+
+} // namespace wasabispar
--- /dev/null
+++ b/include/wasabispar/upstream/latency_estimator.hpp
@@ -0,0 +1,56 @@
+/// @file
+/// @brief Quantiles of recent latencies in bounded memory.
+#pragma once
+
+#include "wasabispar/base/clock.hpp"
+#include "wasabispar/base/units.hpp"
+
+#include <array>
+#include <cstdint>
+#include <optional>
+
+namespace wasabispar {
+
+/// @brief Histogram with logarithmic buckets over a sliding window of kSlices slices.
+/// A quantile is at most kGrowth times the exact value of the window. About 3 KB. Not
+/// thread-safe; its owner holds a lock.
+class LatencyEstimator
+{
+public:
+  /// 8% relative error is below the run-to-run variation of a p95.
+  static constexpr double kGrowth = 1.08;
+  static constexpr Duration kLowest = std::chrono::microseconds(50);
+  /// 50 us * 1.08^184 is 70 s, above any deadline.
+  static constexpr std::size_t kBuckets = 184;
+  static constexpr std::size_t kSlices = 4;
+
+  /// @brief @p aWindow is the total width of all slices.
+  explicit LatencyEstimator(Duration aWindow = std::chrono::seconds(20));
+
+  void Record(Duration aLatency, TimePoint aNow);
+  /// @brief Adds the samples of @p aOther that are still in its window.
+  void Merge(const LatencyEstimator& aOther, TimePoint aNow);
+  /// @brief Upper bound of the bucket that holds the quantile; empty without samples.
+  std::optional<Duration> Quantile(Permille aQuantile, TimePoint aNow) const;
+  /// @brief Number of samples in the window.
+  std::uint64_t Count(TimePoint aNow) const;
+
+private:
+  struct Slice
+  {
+    /// Number of the slice since the clock's epoch; a slice with another number is
+    /// out of date.
+    std::int64_t mNumber = -1;
+    std::uint32_t mCount = 0;
+    std::array<std::uint32_t, kBuckets> mBuckets{};
+  };
+
+  std::int64_t NumberAt(TimePoint aNow) const;
+  bool IsCurrent(const Slice& aSlice, TimePoint aNow) const;
+  Slice& SliceAt(TimePoint aNow);
+
+  Duration mSliceWidth;
+  std::array<Slice, kSlices> mSlices;
+};
+
+} // namespace wasabispar
