--- /dev/null
+++ b/include/wasabispar/admission/fair_queue.hpp
@@ -0,0 +1,340 @@
+/// @file
+/// @brief A queue that serves callers in turn, weighted by the cost of their items
+/// (deficit round robin).
+#pragma once
+
+#include "wasabispar/base/clock.hpp"
+#include "wasabispar/base/ids.hpp"
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace wasabispar {
+
+struct FairQueueOptions
+{
+  std::size_t mMaxLength = 2048;
+  std::size_t mMaxLengthPerCaller = 512;
+  /// Cost that a caller may spend in one turn. Small, so that a turn is short.
+  std::uint32_t mQuantum = 1;
+  /// Larger costs count as this. An item of this cost is passed over
+  /// mMaxCost / mQuantum times at most.
+  std::uint32_t mMaxCost = 16;
+  /// Resolution of Expire().
+  Duration mExpiryTick = std::chrono::milliseconds(4);
+};
+
+/// @brief Why an item left the queue without being served.
+enum class FairQueueDrop
+{
+  /// The queue is full and no caller has a longer queue than the one that pushed.
+  Full,
+  /// The caller has mMaxLengthPerCaller items.
+  CallerFull,
+  /// The youngest item of the longest caller made place for another caller.
+  Displaced,
+  /// The queue deadline passed.
+  Deadline,
+};
+
+/// @brief Items of type @p T, first in first out for each caller, deficit round robin
+/// between callers. Not thread-safe: its owner locks.
+///
+/// The pool of an upstream holds one of these for each upstream; Pop() on a free
+/// connection gives the next item. Keyed by caller and not by the VM that forwarded the
+/// item, so a caller gains nothing by spreading requests over VMs.
+///
+/// Push, Pop, Cancel take O(1) amortised time (mMaxCost / mQuantum is a constant);
+/// Expire takes O(1) for each passed tick and each item in its slot. A caller uses memory
+/// only while it has items.
+template<class T>
+class FairQueue
+{
+public:
+  /// @brief Identifies a queued item; 0 is none. Never used twice.
+  using Handle = std::uint64_t;
+
+  struct Dropped
+  {
+    CallerId mCaller;
+    T mValue;
+    FairQueueDrop mReason;
+  };
+
+  struct Popped
+  {
+    CallerId mCaller;
+    T mValue;
+    std::uint32_t mCost;
+    Duration mWaited;
+  };
+
+  struct PushResult
+  {
+    /// 0 when the item itself was dropped.
+    Handle mHandle = 0;
+    /// The item that did not find or lost its place.
+    std::optional<Dropped> mDropped;
+  };
+
+  explicit FairQueue(FairQueueOptions aOptions = {})
+    : mOptions(aOptions)
+    , mSlots(kSlots)
+    , mByLength(aOptions.mMaxLengthPerCaller + 1)
+  {
+  }
+  FairQueue(const FairQueue&) = delete;
+  FairQueue& operator=(const FairQueue&) = delete;
+
+  /// @brief Adds an item; it is dropped at @p aDeadline if it has not been popped.
+  PushResult Push(const CallerId& aCaller, T aValue, std::uint32_t aCost,
+                  TimePoint aDeadline, TimePoint aNow)
+  {
+    const auto length = Length(aCaller);
+    if (const auto drop = RefusalOf(length, aDeadline, aNow)) {
+      return { 0, Dropped{ aCaller, std::move(aValue), *drop } };
+    }
+    PushResult result;
+    if (mItems.size() >= mOptions.mMaxLength) {
+      auto& longest = *mByLength[mLongest].front();
+      result.mDropped = Take(std::prev(longest.mItems.end()), FairQueueDrop::Displaced);
+    }
+    result.mHandle = Append(aCaller, std::move(aValue), aCost, aDeadline, aNow);
+    return result;
+  }
+
+  /// @brief The next item whose deadline has not passed. Those passed over because of
+  /// their deadline are appended to @p aExpired.
+  std::optional<Popped> Pop(TimePoint aNow, std::vector<Dropped>& aExpired)
+  {
+    while (!mActive.empty()) {
+      auto& queue = *mActive.front();
+      const auto item = queue.mItems.begin();
+      if (item->mDeadline <= aNow) {
+        aExpired.push_back(Take(item, FairQueueDrop::Deadline));
+        continue;
+      }
+      if (!queue.mHasTurn) {
+        queue.mHasTurn = true;
+        queue.mDeficit += mOptions.mQuantum;
+      }
+      if (item->mCost > queue.mDeficit) {
+        EndTurn(queue);
+        continue;
+      }
+      return Serve(queue, aNow);
+    }
+    return std::nullopt;
+  }
+
+  /// @brief Takes an item out; empty when it already left.
+  std::optional<T> Cancel(Handle aHandle)
+  {
+    const auto found = mItems.find(aHandle);
+    if (found == mItems.end()) {
+      return std::nullopt;
+    }
+    const auto item = found->second;
+    auto value = std::move(item->mValue);
+    Remove(item);
+    return value;
+  }
+
+  /// @brief Drops the items whose deadline has passed.
+  std::vector<Dropped> Expire(TimePoint aNow)
+  {
+    std::vector<Dropped> dropped;
+    const auto last = TickOf(aNow);
+    const auto first = std::max(mTick, last - std::min<std::int64_t>(last, kSlots - 1));
+    for (auto tick = first; tick <= last; ++tick) {
+      ExpireSlot(mSlots[static_cast<std::size_t>(tick) % kSlots], aNow, dropped);
+    }
+    mTick = std::max(mTick, last);
+    return dropped;
+  }
+
+  /// @brief Drops all items, for a shutdown.
+  std::vector<T> Clear()
+  {
+    std::vector<T> values;
+    while (!mActive.empty()) {
+      const auto item = mActive.front()->mItems.begin();
+      values.push_back(std::move(item->mValue));
+      Remove(item);
+    }
+    return values;
+  }
+
+  std::size_t Length() const { return mItems.size(); }
+  std::size_t Length(const CallerId& aCaller) const
+  {
+    const auto found = mQueues.find(aCaller);
+    return found == mQueues.end() ? 0 : found->second.mItems.size();
+  }
+  /// @brief Callers that have items.
+  std::size_t Callers() const { return mQueues.size(); }
+
+private:
+  struct Queue;
+  struct Item
+  {
+    Handle mHandle;
+    Queue* mQueue;
+    T mValue;
+    std::uint32_t mCost;
+    TimePoint mDeadline;
+    TimePoint mPushed;
+    std::size_t mSlot;
+    std::list<Handle>::iterator mInSlot;
+  };
+  using ItemPosition = typename std::list<Item>::iterator;
+  using QueueList = std::list<Queue*>;
+  struct Queue
+  {
+    CallerId mCaller;
+    /// Invariant: not empty between two public calls.
+    std::list<Item> mItems;
+    std::uint64_t mDeficit = 0;
+    bool mHasTurn = false;
+    typename QueueList::iterator mInActive;
+    typename QueueList::iterator mInLength;
+  };
+
+  /// Slots of the wheel of deadlines; a later deadline is looked at once each round.
+  static constexpr std::int64_t kSlots = 512;
+
+  std::optional<FairQueueDrop> RefusalOf(std::size_t aLength, TimePoint aDeadline,
+                                         TimePoint aNow) const
+  {
+    if (aDeadline <= aNow) {
+      return FairQueueDrop::Deadline;
+    }
+    if (aLength >= mOptions.mMaxLengthPerCaller) {
+      return FairQueueDrop::CallerFull;
+    }
+    if (mItems.size() >= mOptions.mMaxLength && aLength >= mLongest) {
+      return FairQueueDrop::Full;
+    }
+    return std::nullopt;
+  }
+
+  std::int64_t TickOf(TimePoint aTime) const
+  {
+    return std::max<std::int64_t>(0, aTime.time_since_epoch() / mOptions.mExpiryTick);
+  }
+
+  Queue& QueueOf(const CallerId& aCaller)
+  {
+    auto [found, isNew] = mQueues.try_emplace(aCaller);
+    auto& queue = found->second;
+    if (isNew) {
+      queue.mCaller = aCaller;
+      queue.mInActive = mActive.insert(mActive.end(), &queue);
+      queue.mInLength = mByLength[0].insert(mByLength[0].end(), &queue);
+    }
+    return queue;
+  }
+
+  Handle Append(const CallerId& aCaller, T aValue, std::uint32_t aCost,
+                TimePoint aDeadline, TimePoint aNow)
+  {
+    auto& queue = QueueOf(aCaller);
+    const auto handle = mNextHandle++;
+    // A deadline in a slot that was already visited would be seen a round too late.
+    const auto tick = std::max(TickOf(aDeadline), mTick);
+    const auto slot = static_cast<std::size_t>(tick % kSlots);
+    const auto inSlot = mSlots[slot].insert(mSlots[slot].end(), handle);
+    const auto cost = std::clamp<std::uint32_t>(aCost, 1, mOptions.mMaxCost);
+    queue.mItems.push_back(
+      Item{ handle, &queue, std::move(aValue), cost, aDeadline, aNow, slot, inSlot });
+    mItems.emplace(handle, std::prev(queue.mItems.end()));
+    MoveLength(queue, queue.mItems.size() - 1, queue.mItems.size());
+    return handle;
+  }
+
+  void MoveLength(Queue& aQueue, std::size_t aFrom, std::size_t aTo)
+  {
+    mByLength[aTo].splice(mByLength[aTo].end(), mByLength[aFrom], aQueue.mInLength);
+    // Lengths change by one, so the maximum does too.
+    if (aTo > mLongest) {
+      mLongest = aTo;
+    } else if (aFrom == mLongest && mByLength[aFrom].empty()) {
+      mLongest = aTo;
+    }
+  }
+
+  /// Takes the item out of all lists, and its queue when that becomes empty.
+  void Remove(ItemPosition aItem)
+  {
+    auto& queue = *aItem->mQueue;
+    mSlots[aItem->mSlot].erase(aItem->mInSlot);
+    mItems.erase(aItem->mHandle);
+    queue.mItems.erase(aItem);
+    MoveLength(queue, queue.mItems.size() + 1, queue.mItems.size());
+    if (queue.mItems.empty()) {
+      mByLength[0].erase(queue.mInLength);
+      mActive.erase(queue.mInActive);
+      mQueues.erase(CallerId(queue.mCaller));
+    }
+  }
+
+  Dropped Take(ItemPosition aItem, FairQueueDrop aReason)
+  {
+    Dropped dropped{ aItem->mQueue->mCaller, std::move(aItem->mValue), aReason };
+    Remove(aItem);
+    return dropped;
+  }
+
+  Popped Serve(Queue& aQueue, TimePoint aNow)
+  {
+    const auto item = aQueue.mItems.begin();
+    Popped popped{ aQueue.mCaller, std::move(item->mValue), item->mCost,
+                   aNow - item->mPushed };
+    aQueue.mDeficit -= item->mCost;
+    if (aQueue.mItems.size() > 1 && std::next(item)->mCost > aQueue.mDeficit) {
+      EndTurn(aQueue);
+    }
+    Remove(item);
+    return popped;
+  }
+
+  void EndTurn(Queue& aQueue)
+  {
+    aQueue.mHasTurn = false;
+    mActive.splice(mActive.end(), mActive, aQueue.mInActive);
+  }
+
+  void ExpireSlot(std::list<Handle>& aSlot, TimePoint aNow,
+                  std::vector<Dropped>& aDropped)
+  {
+    for (auto next = aSlot.begin(); next != aSlot.end();) {
+      const auto item = mItems.at(*next++);
+      if (item->mDeadline <= aNow) {
+        aDropped.push_back(Take(item, FairQueueDrop::Deadline));
+      }
+    }
+  }
+
+  FairQueueOptions mOptions;
+  Handle mNextHandle = 1;
+  std::unordered_map<Handle, ItemPosition> mItems;
+  std::unordered_map<CallerId, Queue> mQueues;
+  /// Callers in the order of their turns.
+  QueueList mActive;
+  /// Wheel of deadlines: the items of a slot, by tick modulo kSlots.
+  std::vector<std::list<Handle>> mSlots;
+  /// All ticks before this one have been visited by Expire().
+  std::int64_t mTick = 0;
+  /// Callers by the length of their queue.
+  std::vector<QueueList> mByLength;
+  /// Invariant: the largest index of a non-empty element of mByLength, or 0.
+  std::size_t mLongest = 0;
+};
+
+} // namespace wasabispar
