--- a/include/wasabispar/admission/admission_control.hpp
+++ b/include/wasabispar/admission/admission_control.hpp
@@ -99,6 +99,10 @@
   using Calls = std::vector<Call>;
   using Queue = FairQueue<AdmissionFn>;
 
+  AdmissionId Enqueue(Calls& aCalls, const CallerId& aCaller, std::uint32_t aCost,
+                      TimePoint aDeadline, TimePoint aNow, AdmissionFn aDone);
+  /// Runs the callbacks; call it without the lock.
+  static void Run(Calls& aCalls);
   Duration ExpectedWaitLocked(const CallerId& aCaller) const;
   void AddCall(Calls& aCalls, AdmissionFn aDone, AdmissionReason aReason);
   void AddDropped(Calls& aCalls, std::vector<Queue::Dropped> aDropped);
--- a/include/wasabispar/admission/fair_queue.hpp
+++ b/include/wasabispar/admission/fair_queue.hpp
@@ -33,7 +33,7 @@
 /// @brief Why an item left the queue without being served.
 enum class FairQueueDrop
 {
-  /// The queue is full and no caller has a longer queue than the one that pushed.
+  /// The queue is full, and with this item no caller would have a longer queue.
   Full,
   /// The caller has mMaxLengthPerCaller items.
   CallerFull,
@@ -218,7 +218,7 @@
     if (aLength >= mOptions.mMaxLengthPerCaller) {
       return FairQueueDrop::CallerFull;
     }
-    if (mItems.size() >= mOptions.mMaxLength && aLength >= mLongest) {
+    if (mItems.size() >= mOptions.mMaxLength && aLength + 1 >= mLongest) {
       return FairQueueDrop::Full;
     }
     return std::nullopt;
--- a/include/wasabispar/execution/execution_ledger.hpp
+++ b/include/wasabispar/execution/execution_ledger.hpp
@@ -127,7 +127,7 @@
   ///
   /// An end with outcome `not-run` makes the ticket usable again. After a permitted send
   /// only the upstream's own refusal counts as `not-run`; any other end that claims it
-  /// becomes ConnectionLostAfterSend. A second Complete() of an attempt changes nothing.
+  /// becomes AfterSend() of it. A second Complete() of an attempt changes nothing.
   ExecutionAnswer Complete(const ExecutionAttempt& aAttempt, ExecutionAnswer aAnswer,
                            TimePoint aNow);
 
@@ -136,9 +136,8 @@
   /// @returns the number forgotten.
   std::size_t Sweep(TimePoint aNow);
 
-  /// @brief Attempts that run now, for the end of the shutdown grace: those that were
-  /// not sent may be completed with ShutdownBeforeSend, the others with
-  /// ShutdownAfterSend.
+  /// @brief Attempts that run now. At the end of the shutdown grace, complete each with
+  /// ShutdownBeforeSend, which becomes ShutdownAfterSend for those that were sent.
   std::vector<ExecutionAttempt> Running() const;
 
   LedgerUsage Usage() const;
--- a/include/wasabispar/execution/execution_router.hpp
+++ b/include/wasabispar/execution/execution_router.hpp
@@ -145,7 +145,7 @@
                              ExecutionAnswer aReply) const;
 
 private:
-  RouteDecision RouteForeign(const ExecutionRequest& aRequest) const;
+  RouteDecision RouteForeign(const ExecutionRequest& aRequest, TimePoint aNow) const;
   RouteDecision RouteOwn(const ExecutionRequest& aRequest, const Ticket& aTicket,
                          TimePoint aNow, ExecutionWaitFn aOnAnswer);
   ExecutionAnswer End(const ExecutionRun& aRun, ExecutionAnswer aAnswer, TimePoint aNow);
--- /dev/null
+++ b/src/wasabispar/admission/admission_control.cpp
@@ -0,0 +1,254 @@
+/// @file
+/// @brief AdmissionControl: collects callbacks under the lock and runs them after it.
+#include "wasabispar/admission/admission_control.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace wasabispar {
+
+namespace {
+
+AdmissionReason
+ReasonOf(FairQueueDrop aDrop)
+{
+  switch (aDrop) {
+    case FairQueueDrop::Full:
+      return AdmissionReason::QueueFull;
+    case FairQueueDrop::CallerFull:
+      return AdmissionReason::CallerQueueFull;
+    case FairQueueDrop::Displaced:
+      return AdmissionReason::Displaced;
+    case FairQueueDrop::Deadline:
+      return AdmissionReason::QueueDeadline;
+  }
+  return AdmissionReason::QueueFull;
+}
+
+} // namespace
+
+std::string_view
+ToText(AdmissionReason aReason)
+{
+  switch (aReason) {
+    case AdmissionReason::Admitted:
+      return "admitted";
+    case AdmissionReason::QueueFull:
+      return "queue-full";
+    case AdmissionReason::CallerQueueFull:
+      return "caller-queue-full";
+    case AdmissionReason::Displaced:
+      return "displaced";
+    case AdmissionReason::ExpectedWait:
+      return "expected-wait";
+    case AdmissionReason::QueueDeadline:
+      return "queue-deadline";
+    case AdmissionReason::Shutdown:
+      return "shutdown";
+  }
+  return "queue-full";
+}
+
+AdmissionControl::AdmissionControl(AdmissionControlOptions aOptions)
+  : mOptions(aOptions)
+  , mQueue(aOptions.mQueue)
+  , mLimit(aOptions.mLimit)
+{
+}
+
+AdmissionId
+AdmissionControl::Submit(const CallerId& aCaller, std::uint32_t aCost,
+                         TimePoint aDeadline, TimePoint aNow, AdmissionFn aDone)
+{
+  Calls calls;
+  AdmissionId id = 0;
+  {
+    std::lock_guard lock(mMutex);
+    if (mIsShutDown) {
+      AddCall(calls, std::move(aDone), AdmissionReason::Shutdown);
+    } else if (aDeadline <= aNow) {
+      AddCall(calls, std::move(aDone), AdmissionReason::QueueDeadline);
+    } else if (mRunning < mLimit.Value() && mQueue.Length() == 0) {
+      ++mRunning;
+      AddCall(calls, std::move(aDone), AdmissionReason::Admitted);
+    } else {
+      id = Enqueue(calls, aCaller, aCost, aDeadline, aNow, std::move(aDone));
+    }
+  }
+  Run(calls);
+  return id;
+}
+
+AdmissionId
+AdmissionControl::Enqueue(Calls& aCalls, const CallerId& aCaller, std::uint32_t aCost,
+                          TimePoint aDeadline, TimePoint aNow, AdmissionFn aDone)
+{
+  mLimit.OnLimitReached();
+  if (ExpectedWaitLocked(aCaller) > aDeadline - aNow) {
+    AddCall(aCalls, std::move(aDone), AdmissionReason::ExpectedWait);
+    return 0;
+  }
+  const auto queueDeadline = std::min(aDeadline, aNow + mOptions.mMaxQueueTime);
+  auto pushed = mQueue.Push(aCaller, std::move(aDone), aCost, queueDeadline, aNow);
+  if (pushed.mDropped) {
+    AddCall(aCalls, std::move(pushed.mDropped->mValue),
+            ReasonOf(pushed.mDropped->mReason));
+  }
+  return pushed.mHandle;
+}
+
+void
+AdmissionControl::Finish(TimePoint aNow)
+{
+  Calls calls;
+  {
+    std::lock_guard lock(mMutex);
+    --mRunning;
+    StartQueued(calls, aNow);
+  }
+  Run(calls);
+}
+
+bool
+AdmissionControl::Cancel(AdmissionId aId)
+{
+  std::lock_guard lock(mMutex);
+  return mQueue.Cancel(aId).has_value();
+}
+
+void
+AdmissionControl::OnWorkerDelay(Duration aDelay, TimePoint aNow)
+{
+  Calls calls;
+  {
+    std::lock_guard lock(mMutex);
+    mLimit.OnDelay(aDelay, aNow);
+    StartQueued(calls, aNow);
+  }
+  Run(calls);
+}
+
+void
+AdmissionControl::Expire(TimePoint aNow)
+{
+  Calls calls;
+  {
+    std::lock_guard lock(mMutex);
+    AddDropped(calls, mQueue.Expire(aNow));
+  }
+  Run(calls);
+}
+
+void
+AdmissionControl::Shutdown()
+{
+  Calls calls;
+  {
+    std::lock_guard lock(mMutex);
+    mIsShutDown = true;
+    for (auto& done : mQueue.Clear()) {
+      AddCall(calls, std::move(done), AdmissionReason::Shutdown);
+    }
+  }
+  Run(calls);
+}
+
+std::size_t
+AdmissionControl::Limit() const
+{
+  std::lock_guard lock(mMutex);
+  return mLimit.Value();
+}
+
+std::size_t
+AdmissionControl::Running() const
+{
+  std::lock_guard lock(mMutex);
+  return mRunning;
+}
+
+std::size_t
+AdmissionControl::Queued() const
+{
+  std::lock_guard lock(mMutex);
+  return mQueue.Length();
+}
+
+Duration
+AdmissionControl::ExpectedWait(const CallerId& aCaller) const
+{
+  std::lock_guard lock(mMutex);
+  return ExpectedWaitLocked(aCaller);
+}
+
+std::array<std::uint64_t, kAdmissionReasons>
+AdmissionControl::Counts() const
+{
+  std::lock_guard lock(mMutex);
+  return mCounts;
+}
+
+Duration
+AdmissionControl::ExpectedWaitLocked(const CallerId& aCaller) const
+{
+  // Each caller with items is served once for each item of this caller, at most.
+  const auto own = mQueue.Length(aCaller);
+  const auto callers = mQueue.Callers() + (own == 0 ? 1 : 0);
+  const auto ahead = std::min(mQueue.Length(), (own + 1) * callers);
+  return mStartInterval.value_or(Duration{}) * static_cast<std::int64_t>(ahead);
+}
+
+void
+AdmissionControl::AddCall(Calls& aCalls, AdmissionFn aDone, AdmissionReason aReason)
+{
+  ++mCounts[static_cast<std::size_t>(aReason)];
+  aCalls.push_back({ std::move(aDone), aReason });
+}
+
+void
+AdmissionControl::AddDropped(Calls& aCalls, std::vector<Queue::Dropped> aDropped)
+{
+  for (auto& dropped : aDropped) {
+    AddCall(aCalls, std::move(dropped.mValue), ReasonOf(dropped.mReason));
+  }
+}
+
+void
+AdmissionControl::StartQueued(Calls& aCalls, TimePoint aNow)
+{
+  std::vector<Queue::Dropped> expired;
+  while (!mIsShutDown && mRunning < mLimit.Value()) {
+    auto next = mQueue.Pop(aNow, expired);
+    if (!next) {
+      // Without a queue the time between starts is that between arrivals.
+      mLastQueuedStart.reset();
+      break;
+    }
+    ++mRunning;
+    NoteStart(aNow);
+    AddCall(aCalls, std::move(next->mValue), AdmissionReason::Admitted);
+  }
+  AddDropped(aCalls, std::move(expired));
+}
+
+void
+AdmissionControl::NoteStart(TimePoint aNow)
+{
+  if (mLastQueuedStart) {
+    const auto sample = aNow - *mLastQueuedStart;
+    const auto old = mStartInterval.value_or(sample);
+    mStartInterval =
+      old + std::chrono::duration_cast<Duration>((sample - old) * mOptions.mRateWeight);
+  }
+  mLastQueuedStart = aNow;
+}
+
+void
+AdmissionControl::Run(Calls& aCalls)
+{
+  for (auto& call : aCalls) {
+    call.mDone(call.mReason);
+  }
+}
+
+} // namespace wasabispar
--- /dev/null
+++ b/src/wasabispar/execution/execution_ledger.cpp
@@ -0,0 +1,379 @@
+/// @file
+/// @brief ExecutionLedger: shards of entries by ticket sequence.
+#include "wasabispar/execution/execution_ledger.hpp"
+
+#include <atomic>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <unordered_map>
+#include <utility>
+
+namespace wasabispar {
+
+namespace {
+
+enum class EntryState : std::uint8_t
+{
+  /// May be started.
+  Issued,
+  /// Started; no byte has left.
+  Unsent,
+  /// Started; a byte may have left.
+  Sent,
+  /// Ended as `ran` or `outcome-unknown`; the answer is replayed.
+  Ended,
+  /// Seen expired before a byte left. Never starts and never sends, also not for a
+  /// thread that read its clock before the expiry.
+  Closed,
+};
+
+/// What one caller holds.
+struct CallerUse
+{
+  std::size_t mTickets = 0;
+  std::size_t mRetainedBytes = 0;
+};
+using CallerUses = std::map<CallerId, CallerUse>;
+
+struct Entry
+{
+  EntryState mState = EntryState::Issued;
+  bool mHasBody = false;
+  /// Sweep() met it while Sent; Complete() forgets it.
+  bool mIsOverdue = false;
+  /// Number of the attempt that runs or ran last.
+  std::uint32_t mAttempt = 0;
+  TimePoint mExpiry;
+  TimePoint mDeadline;
+  RequestFingerprint mBody;
+  CallerUses::iterator mCaller;
+  std::vector<ExecutionWaitFn> mWaiters;
+  /// Set when Ended.
+  ExecutionAnswer mAnswer;
+};
+
+struct Shard
+{
+  /// Guards the members below.
+  mutable std::mutex mMutex;
+  std::unordered_map<std::uint64_t, Entry> mEntries;
+  /// Sequences in the order of issue, which is the order of expiry because all tickets
+  /// have the same lifetime.
+  std::deque<std::uint64_t> mOrder;
+};
+
+BeginResult
+Refuse(EndCondition aEnd, AnswerScope aScope)
+{
+  return { BeginAction::Refuse, {}, ExecutionAnswer{ aEnd, aScope, {}, {} } };
+}
+
+} // namespace
+
+struct ExecutionLedger::State
+{
+  ExecutionLedgerOptions mOptions;
+  std::vector<Shard> mShards;
+  std::atomic<std::uint64_t> mNextSequence{ 1 };
+
+  /// Guards the members below. Taken with the lock of a shard held, never the reverse.
+  mutable std::mutex mUseMutex;
+  /// Invariant: holds only callers with outstanding tickets.
+  CallerUses mCallers;
+  std::size_t mTickets = 0;
+  std::size_t mRetainedBytes = 0;
+
+  explicit State(const ExecutionLedgerOptions& aOptions)
+    : mOptions(aOptions)
+    , mShards(aOptions.mShards)
+  {
+  }
+
+  Shard& ShardOf(std::uint64_t aSequence) { return mShards[aSequence % mShards.size()]; }
+
+  /// Counts a new ticket of @p aCaller, or says which limit refuses it.
+  std::optional<EndCondition> Reserve(const CallerId& aCaller,
+                                      CallerUses::iterator& aPosition)
+  {
+    std::lock_guard lock(mUseMutex);
+    if (mTickets >= mOptions.mMaxTickets) {
+      return EndCondition::TicketLimit;
+    }
+    const auto found = mCallers.find(aCaller);
+    const auto held = found == mCallers.end() ? 0 : found->second.mTickets;
+    if (held >= mOptions.mMaxTicketsPerCaller) {
+      return EndCondition::TicketLimitOfCaller;
+    }
+    aPosition = mCallers.try_emplace(aCaller).first;
+    ++aPosition->second.mTickets;
+    ++mTickets;
+    return std::nullopt;
+  }
+
+  bool ReserveReply(CallerUses::iterator aCaller, std::size_t aBytes)
+  {
+    std::lock_guard lock(mUseMutex);
+    auto& use = aCaller->second;
+    if (aBytes > mOptions.mMaxReplyBytes ||
+        mRetainedBytes + aBytes > mOptions.mMaxRetainedBytes ||
+        use.mRetainedBytes + aBytes > mOptions.mMaxRetainedBytesPerCaller) {
+      return false;
+    }
+    mRetainedBytes += aBytes;
+    use.mRetainedBytes += aBytes;
+    return true;
+  }
+
+  void Release(const Entry& aEntry)
+  {
+    std::lock_guard lock(mUseMutex);
+    auto& use = aEntry.mCaller->second;
+    mRetainedBytes -= aEntry.mAnswer.mBody.size();
+    use.mRetainedBytes -= aEntry.mAnswer.mBody.size();
+    --mTickets;
+    if (--use.mTickets == 0) {
+      mCallers.erase(aEntry.mCaller);
+    }
+  }
+
+  /// Called with the lock of @p aShard held.
+  void Forget(Shard& aShard, std::unordered_map<std::uint64_t, Entry>::iterator aEntry)
+  {
+    Release(aEntry->second);
+    aShard.mEntries.erase(aEntry);
+  }
+
+  /// Called with the lock of the entry's shard held.
+  void Retain(Entry& aEntry, const ExecutionAnswer& aAnswer)
+  {
+    aEntry.mState = EntryState::Ended;
+    if (ReserveReply(aEntry.mCaller, aAnswer.mBody.size())) {
+      aEntry.mAnswer = aAnswer;
+      // The reply may have been read into a larger buffer.
+      aEntry.mAnswer.mBody.shrink_to_fit();
+      return;
+    }
+    aEntry.mAnswer = {
+      EndCondition::ReplyNotRetained, aAnswer.mScope, aAnswer.mPeer, {}
+    };
+  }
+
+  BeginResult BeginIssued(Entry& aEntry, std::uint64_t aSequence,
+                          RequestFingerprint aBody, TimePoint aDeadline, TimePoint aNow)
+  {
+    if (aNow >= aDeadline) {
+      return Refuse(EndCondition::DeadlineBeforeSend, AnswerScope::Ticket);
+    }
+    aEntry.mState = EntryState::Unsent;
+    aEntry.mHasBody = true;
+    aEntry.mBody = aBody;
+    aEntry.mDeadline = aDeadline;
+    ++aEntry.mAttempt;
+    return { BeginAction::Start, { aSequence, aEntry.mAttempt }, {} };
+  }
+
+  BeginResult BeginRunning(Entry& aEntry, ExecutionWaitFn aOnAnswer)
+  {
+    if (aEntry.mWaiters.size() >= mOptions.mMaxWaiters) {
+      return Refuse(EndCondition::TooManyWaiters, AnswerScope::Ticket);
+    }
+    aEntry.mWaiters.push_back(std::move(aOnAnswer));
+    return { BeginAction::Wait, {}, {} };
+  }
+
+  /// The answer after an attempt; sets the next state of the entry.
+  ExecutionAnswer End(Entry& aEntry, ExecutionAnswer aAnswer, TimePoint aNow)
+  {
+    if (aEntry.mState == EntryState::Sent) {
+      aAnswer.mEnd = AfterSend(aAnswer.mEnd);
+    }
+    aAnswer.mScope = AnswerScope::Ticket;
+    if (aAnswer.Result() != Outcome::NotRun) {
+      Retain(aEntry, aAnswer);
+    } else {
+      const auto isClosed = aEntry.mState == EntryState::Closed || aNow >= aEntry.mExpiry;
+      aEntry.mState = isClosed ? EntryState::Closed : EntryState::Issued;
+    }
+    return aAnswer;
+  }
+};
+
+ExecutionLedger::ExecutionLedger(TicketIssuer aIssuer, const TicketSecret& aSecret,
+                                 ExecutionLedgerOptions aOptions)
+  : mCodec(std::move(aIssuer), aSecret)
+  , mState(std::make_unique<State>(aOptions))
+{
+}
+
+ExecutionLedger::~ExecutionLedger() = default;
+
+IssueResult
+ExecutionLedger::Issue(const ProfileName& aProfile, const CallerId& aCaller,
+                       TimePoint aNow)
+{
+  if (!TicketCodec::Fits(aProfile, aCaller)) {
+    return { {}, {}, { EndCondition::BadRequest, AnswerScope::Request, {}, {} } };
+  }
+  Entry entry;
+  if (const auto limit = mState->Reserve(aCaller, entry.mCaller)) {
+    return { {}, {}, { *limit, AnswerScope::Request, {}, {} } };
+  }
+  const auto sequence = mState->mNextSequence.fetch_add(1);
+  entry.mExpiry = aNow + mState->mOptions.mTicketLifetime;
+  auto text =
+    mCodec.Seal({ mCodec.Issuer(), sequence, aProfile, aCaller, entry.mExpiry });
+  auto& shard = mState->ShardOf(sequence);
+  std::lock_guard lock(shard.mMutex);
+  shard.mEntries.emplace(sequence, std::move(entry));
+  shard.mOrder.push_back(sequence);
+  return { std::move(text), mState->mOptions.mTicketLifetime, {} };
+}
+
+BeginResult
+ExecutionLedger::Begin(const Ticket& aTicket, RequestFingerprint aBody,
+                       TimePoint aDeadline, TimePoint aNow, ExecutionWaitFn aOnAnswer)
+{
+  auto& shard = mState->ShardOf(aTicket.mSequence);
+  std::lock_guard lock(shard.mMutex);
+  const auto found = shard.mEntries.find(aTicket.mSequence);
+  if (found == shard.mEntries.end()) {
+    return Refuse(EndCondition::TicketExpired, AnswerScope::Ticket);
+  }
+  auto& entry = found->second;
+  if (entry.mHasBody && entry.mBody != aBody) {
+    return Refuse(EndCondition::TicketBodyDiffers, AnswerScope::Request);
+  }
+  const auto isUnsent =
+    entry.mState == EntryState::Issued || entry.mState == EntryState::Unsent;
+  if (isUnsent && aNow >= entry.mExpiry) {
+    entry.mState = EntryState::Closed;
+  }
+  switch (entry.mState) {
+    case EntryState::Issued:
+      return mState->BeginIssued(entry, aTicket.mSequence, aBody, aDeadline, aNow);
+    case EntryState::Unsent:
+    case EntryState::Sent:
+      return mState->BeginRunning(entry, std::move(aOnAnswer));
+    case EntryState::Ended:
+      return { BeginAction::Replay, {}, entry.mAnswer };
+    case EntryState::Closed:
+      break;
+  }
+  return Refuse(EndCondition::TicketExpiredUnused, AnswerScope::Ticket);
+}
+
+bool
+ExecutionLedger::MayStillSend(const ExecutionAttempt& aAttempt, TimePoint aNow)
+{
+  auto& shard = mState->ShardOf(aAttempt.mSequence);
+  std::lock_guard lock(shard.mMutex);
+  const auto found = shard.mEntries.find(aAttempt.mSequence);
+  if (found == shard.mEntries.end()) {
+    return false;
+  }
+  auto& entry = found->second;
+  if (entry.mState != EntryState::Unsent || entry.mAttempt != aAttempt.mNumber ||
+      aNow >= entry.mDeadline || aNow >= entry.mExpiry) {
+    return false;
+  }
+  entry.mState = EntryState::Sent;
+  return true;
+}
+
+ExecutionAnswer
+ExecutionLedger::Complete(const ExecutionAttempt& aAttempt, ExecutionAnswer aAnswer,
+                          TimePoint aNow)
+{
+  std::vector<ExecutionWaitFn> waiters;
+  aAnswer.mScope = AnswerScope::Ticket;
+  {
+    auto& shard = mState->ShardOf(aAttempt.mSequence);
+    std::lock_guard lock(shard.mMutex);
+    const auto found = shard.mEntries.find(aAttempt.mSequence);
+    if (found == shard.mEntries.end() || found->second.mAttempt != aAttempt.mNumber) {
+      return aAnswer;
+    }
+    auto& entry = found->second;
+    if (entry.mState == EntryState::Ended) {
+      return entry.mAnswer;
+    }
+    if (entry.mState == EntryState::Issued) {
+      return aAnswer;
+    }
+    aAnswer = mState->End(entry, std::move(aAnswer), aNow);
+    waiters.swap(entry.mWaiters);
+    if (entry.mIsOverdue) {
+      mState->Forget(shard, found);
+    }
+  }
+  for (const auto& waiter : waiters) {
+    if (waiter) {
+      waiter(aAnswer);
+    }
+  }
+  return aAnswer;
+}
+
+std::size_t
+ExecutionLedger::Sweep(TimePoint aNow)
+{
+  std::size_t forgotten = 0;
+  std::vector<ExecutionWaitFn> waiters;
+  for (auto& shard : mState->mShards) {
+    std::lock_guard lock(shard.mMutex);
+    while (!shard.mOrder.empty()) {
+      const auto found = shard.mEntries.find(shard.mOrder.front());
+      if (found == shard.mEntries.end()) {
+        shard.mOrder.pop_front();
+        continue;
+      }
+      auto& entry = found->second;
+      if (entry.mExpiry > aNow) {
+        break;
+      }
+      shard.mOrder.pop_front();
+      if (entry.mState == EntryState::Sent) {
+        entry.mIsOverdue = true;
+        continue;
+      }
+      waiters.insert(waiters.end(), std::make_move_iterator(entry.mWaiters.begin()),
+                     std::make_move_iterator(entry.mWaiters.end()));
+      mState->Forget(shard, found);
+      ++forgotten;
+    }
+  }
+  const ExecutionAnswer expired{
+    EndCondition::TicketExpiredUnused, AnswerScope::Ticket, {}, {}
+  };
+  for (const auto& waiter : waiters) {
+    if (waiter) {
+      waiter(expired);
+    }
+  }
+  return forgotten;
+}
+
+std::vector<ExecutionAttempt>
+ExecutionLedger::Running() const
+{
+  std::vector<ExecutionAttempt> attempts;
+  for (const auto& shard : mState->mShards) {
+    std::lock_guard lock(shard.mMutex);
+    for (const auto& [sequence, entry] : shard.mEntries) {
+      if (entry.mState == EntryState::Unsent || entry.mState == EntryState::Sent) {
+        attempts.push_back({ sequence, entry.mAttempt });
+      }
+    }
+  }
+  return attempts;
+}
+
+LedgerUsage
+ExecutionLedger::Usage() const
+{
+  std::lock_guard lock(mState->mUseMutex);
+  return { mState->mTickets, mState->mRetainedBytes, mState->mCallers.size() };
+}
+
+} // namespace wasabispar
--- /dev/null
+++ b/src/wasabispar/execution/quarantine.cpp
@@ -0,0 +1,96 @@
+/// @file
+/// @brief Quarantine: fingerprints ordered by expiry under one lock.
+#include "wasabispar/execution/quarantine.hpp"
+
+#include <algorithm>
+
+namespace wasabispar {
+
+Quarantine::Quarantine(QuarantineOptions aOptions)
+  : mOptions(aOptions)
+{
+}
+
+QuarantineFact
+Quarantine::Add(RequestFingerprint aFingerprint, TimePoint aNow)
+{
+  std::lock_guard lock(mMutex);
+  Insert(aFingerprint, aNow + mOptions.mPeriod);
+  return { aFingerprint, mOptions.mPeriod };
+}
+
+void
+Quarantine::Apply(const QuarantineFact& aFact, TimePoint aNow)
+{
+  // Limited to the period, so that a faulty peer cannot refuse a request for ever.
+  const auto remaining = std::min(aFact.mRemaining, mOptions.mPeriod);
+  if (remaining <= Duration{}) {
+    return;
+  }
+  std::lock_guard lock(mMutex);
+  Insert(aFact.mFingerprint, aNow + remaining);
+}
+
+void
+Quarantine::Insert(RequestFingerprint aFingerprint, TimePoint aExpiry)
+{
+  const auto [found, isNew] = mExpiries.try_emplace(aFingerprint, aExpiry);
+  if (!isNew) {
+    if (found->second >= aExpiry) {
+      return;
+    }
+    mByExpiry.erase({ found->second, aFingerprint });
+    found->second = aExpiry;
+  }
+  mByExpiry.emplace(aExpiry, aFingerprint);
+  if (mExpiries.size() > mOptions.mMaxFingerprints) {
+    mExpiries.erase(mByExpiry.begin()->second);
+    mByExpiry.erase(mByExpiry.begin());
+  }
+}
+
+std::optional<ExecutionAnswer>
+Quarantine::Check(RequestFingerprint aFingerprint, TimePoint aNow) const
+{
+  std::lock_guard lock(mMutex);
+  const auto found = mExpiries.find(aFingerprint);
+  if (found == mExpiries.end() || found->second <= aNow) {
+    return std::nullopt;
+  }
+  return ExecutionAnswer{ EndCondition::Quarantined, AnswerScope::Request, {}, {} };
+}
+
+std::size_t
+Quarantine::Sweep(TimePoint aNow)
+{
+  std::lock_guard lock(mMutex);
+  std::size_t dropped = 0;
+  while (!mByExpiry.empty() && mByExpiry.begin()->first <= aNow) {
+    mExpiries.erase(mByExpiry.begin()->second);
+    mByExpiry.erase(mByExpiry.begin());
+    ++dropped;
+  }
+  return dropped;
+}
+
+std::vector<QuarantineFact>
+Quarantine::Active(TimePoint aNow) const
+{
+  std::lock_guard lock(mMutex);
+  std::vector<QuarantineFact> facts;
+  for (const auto& [fingerprint, expiry] : mExpiries) {
+    if (expiry > aNow) {
+      facts.push_back({ fingerprint, expiry - aNow });
+    }
+  }
+  return facts;
+}
+
+std::size_t
+Quarantine::Count() const
+{
+  std::lock_guard lock(mMutex);
+  return mExpiries.size();
+}
+
+} // namespace wasabispar
