--- a/include/wasabispar/query/query.hpp
+++ b/include/wasabispar/query/query.hpp
@@ -6,6 +6,7 @@
 #include "wasabispar/base/error.hpp"
 #include "wasabispar/base/ids.hpp"
 #include "wasabispar/base/units.hpp"
+#include "wasabispar/catalogue/profile.hpp"
 #include "wasabispar/query/coverage.hpp"
 #include "wasabispar/query/explain.hpp"
 #include "wasabispar/query/load_budget.hpp"
@@ -22,16 +23,6 @@
 
 namespace wasabispar {
 
-/// @brief When a query that is not complete answers.
-enum class PartialPolicy : std::uint8_t
-{
-  /// At the latency target if the minimum coverage is reached, else when it is reached,
-  /// at the latest at the deadline. Until the target it waits for all shards.
-  AnswerAtTarget,
-  /// When the wanted coverage is reached, at the latest at the deadline.
-  WaitForCoverage,
-};
-
 /// @brief What to search and the promises to keep.
 struct QueryPlan
 {
