--- /dev/null
+++ b/include/wasabispar/net/connection_pool.hpp
@@ -0,0 +1,158 @@
+/// @file
+/// @brief The connections of this VM to one upstream, with a fair queue in front.
+#pragma once
+
+#include "wasabispar/admission/fair_queue.hpp"
+#include "wasabispar/base/clock.hpp"
+#include "wasabispar/base/ids.hpp"
+#include "wasabispar/net/http_client.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace wasabispar {
+
+/// @brief An exchange to run on a connection of the pool.
+struct PooledRequest
+{
+  CallerId mCaller;
+  HttpRequest mRequest;
+  /// The exchange ends as TimedOut at this time; while queued, as Cancelled.
+  TimePoint mDeadline;
+  /// Called right before the first byte is written; false ends the exchange as Cancelled
+  /// with no byte sent. May be empty.
+  std::function<bool(TimePoint)> mMayStillSend;
+  /// Called once right before the exchange starts on a connection. May be empty.
+  std::function<void(std::uint64_t aConnection)> mOnStarted;
+  /// Called once with the end, and whether a byte may have left.
+  std::function<void(HttpExchangeResult, bool aMayHaveLeft)> mDone;
+};
+
+struct ConnectionPoolOptions
+{
+  /// Connections that are kept open without traffic.
+  std::size_t mWarm = 2;
+  /// More concurrent opens would be a storm on an upstream that restarts.
+  std::size_t mMaxOpening = 2;
+  Duration mOpenTimeout = std::chrono::seconds(1);
+  /// Pause after a failed open, so that a dead upstream is not flooded.
+  Duration mReopenDelay = std::chrono::milliseconds(200);
+  FairQueueOptions mQueue;
+};
+
+/// @brief Decisions and observations that belong to the owner of the pool. Called on the
+/// worker of the pool, without a lock held.
+struct ConnectionPoolHooks
+{
+  NowFn mNow;
+  /// Counts a connection before it opens; false when the share is used up.
+  std::function<bool()> mTryOpen;
+  /// A counted connection closed or could not be opened.
+  std::function<void()> mOnClosed;
+  /// Connections above the share.
+  std::function<std::uint32_t()> mSurplus;
+  /// Most concurrent exchanges.
+  std::function<std::uint32_t()> mSlotLimit;
+  std::function<void()> mOnConnected;
+  std::function<void()> mOnConnectFailed;
+};
+
+/// @brief State of a pool for the operator port.
+struct ConnectionPoolStatus
+{
+  std::size_t mOpen = 0;
+  std::size_t mBusy = 0;
+  std::size_t mQueued = 0;
+};
+
+/// @brief Runs exchanges on a bounded number of connections. Not thread-safe: all
+/// functions are called on one worker, and so are all callbacks.
+///
+/// Invariant: a connection carries one exchange at a time, and one whose exchange did
+/// not end with a response is closed.
+class ConnectionPool : public std::enable_shared_from_this<ConnectionPool>
+{
+public:
+  /// Identifies a submitted request; never used twice in a process.
+  using Handle = std::uint64_t;
+
+  ConnectionPool(boost::asio::io_context& aContext,
+                 Endpoint aEndpoint,
+                 ConnectionPoolOptions aOptions,
+                 ConnectionPoolHooks aHooks);
+  ~ConnectionPool();
+
+  /// @brief Runs or queues @p aRequest under @p aHandle.
+  void Submit(Handle aHandle, PooledRequest aRequest);
+  /// @brief Gives up a request. A queued one ends at once; of a running one the result
+  /// is ignored, and its connection is free again when the response has been read.
+  /// mDone is called with Cancelled either way.
+  void Cancel(Handle aHandle);
+  /// @brief Closes the connection of a running request, which ends as ConnectionLost.
+  void CloseConnectionOf(Handle aHandle);
+  /// @brief Closes surplus connections, opens warm ones, drops expired requests. Call it
+  /// each 50 to 100 ms.
+  void Tick();
+  /// @brief Closes all connections; queued and running requests end.
+  void Stop();
+
+  ConnectionPoolStatus Status() const;
+
+private:
+  struct Running
+  {
+    std::shared_ptr<HttpConnection> mConnection;
+    std::uint64_t mConnectionId = 0;
+    /// Empty after Cancel().
+    std::function<void(HttpExchangeResult, bool)> mDone;
+    /// Set by CloseConnectionOf().
+    bool mClosedAsDead = false;
+  };
+  struct Idle
+  {
+    std::shared_ptr<HttpConnection> mConnection;
+    std::uint64_t mConnectionId = 0;
+  };
+  struct Queued
+  {
+    Handle mHandle = 0;
+    PooledRequest mRequest;
+  };
+  using Queue = FairQueue<Queued>;
+
+  boost::asio::io_context& mContext;
+  Endpoint mEndpoint;
+  ConnectionPoolOptions mOptions;
+  ConnectionPoolHooks mHooks;
+  Queue mQueue;
+  std::unordered_map<Handle, Queue::Handle> mQueuedHandles;
+  /// Oldest use first, so that all connections are exercised and a dead one is found.
+  std::deque<Idle> mIdle;
+  std::unordered_map<Handle, Running> mRunning;
+  std::size_t mOpening = 0;
+  std::uint64_t mNextConnection = 1;
+  TimePoint mReopenAt{};
+  bool mIsStopped = false;
+
+  void Pump();
+  void Enqueue(Handle aHandle, PooledRequest aRequest);
+  bool StartNext();
+  void Start(Idle aIdle, Queued aQueued);
+  void OnExchangeEnd(Handle aHandle, HttpExchangeResult aResult);
+  bool MayOpen() const;
+  void OpenOne();
+  void OnOpened(Idle aIdle, bool aOpened);
+  void FailQueued(const std::string& aCause);
+  void CloseIdle(std::size_t aCount);
+  void DropClosedIdle();
+  void DropExpired();
+  void EndUnsent(PooledRequest aRequest, HttpExchangeEnd aEnd, std::string aCause);
+  std::size_t Connections() const { return mIdle.size() + mRunning.size() + mOpening; }
+};
+
+} // namespace wasabispar
--- a/include/wasabispar/net/http_client.hpp
+++ b/include/wasabispar/net/http_client.hpp
@@ -76,6 +76,9 @@
   virtual void Close() = 0;
   /// @brief False after a failure, Close(), or when the other side asked to close.
   virtual bool IsUsable() const = 0;
+  /// @brief Whether the idle connection is still open at this side; finds a close by the
+  /// other side that has arrived. Only on the connection's io_context.
+  virtual bool CheckIdle() = 0;
 };
 
 /// @brief Opens a connection, makes one exchange and closes it. @p aTimeout covers both.
--- a/src/wasabispar/net/http_client.cpp
+++ b/src/wasabispar/net/http_client.cpp
@@ -62,6 +62,8 @@
 
   bool IsUsable() const override { return mUsable; }
 
+  bool CheckIdle() override { return mUsable && !WasClosedWhileIdle(); }
+
 private:
   const Endpoint mEndpoint;
   std::atomic<bool> mUsable{ false };
