--- /dev/null
+++ b/src/wasabispar/catalogue/catalogue.cpp
@@ -0,0 +1,359 @@
+/// @file
+/// @brief Merging of deltas into the catalogue, and differences between views.
+#include "wasabispar/catalogue/catalogue.hpp"
+
+#include "wasabispar/base/hash.hpp"
+#include "wasabispar/catalogue/profile_codec.hpp"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+#include <unordered_set>
+
+namespace wasabispar {
+namespace {
+
+/// A document of an item after validation.
+struct CheckedItem
+{
+  const CatalogueItem* mItem = nullptr;
+  /// Null when deleted or invalid.
+  std::shared_ptr<const Profile> mProfile;
+  /// Why the document is invalid; empty when it is valid.
+  std::string mCause;
+};
+
+CheckedItem
+Check(const CatalogueItem& aItem)
+{
+  CheckedItem checked{ &aItem, nullptr, {} };
+  if (aItem.mDeleted) {
+    return checked;
+  }
+  HandleError(
+    [&]() -> Result<void> {
+      BOOST_LEAF_AUTO(profile, ParseProfile(aItem.mName, aItem.mDocument));
+      checked.mProfile = std::make_shared<const Profile>(std::move(profile));
+      return {};
+    },
+    [&](const Error& aError) { checked.mCause = aError.mCause; });
+  return checked;
+}
+
+std::vector<CheckedItem>
+CheckItems(const std::vector<CatalogueItem>& aItems)
+{
+  std::vector<CheckedItem> checked;
+  checked.reserve(aItems.size());
+  for (const auto& item : aItems) {
+    checked.push_back(Check(item));
+  }
+  // Ascending, so that a valid document stays in effect below a newer invalid one.
+  std::stable_sort(checked.begin(), checked.end(),
+                   [](const CheckedItem& aLeft, const CheckedItem& aRight) {
+                     return aLeft.mItem->mRevision < aRight.mItem->mRevision;
+                   });
+  return checked;
+}
+
+bool
+IsConsistent(const CatalogueDelta& aDelta)
+{
+  return aDelta.mParts == 1 && aDelta.mFrom <= aDelta.mTo &&
+         aDelta.mDeletionsFrom <= aDelta.mTo &&
+         std::all_of(
+           aDelta.mItems.begin(), aDelta.mItems.end(), [&](const CatalogueItem& aItem) {
+             return Revision(0) < aItem.mRevision && aItem.mRevision <= aDelta.mTo;
+           });
+}
+
+/// The fields of a profile as JSON; empty without a profile.
+boost::json::object
+FieldsOf(const ProfileLookup& aLookup)
+{
+  return aLookup.mProfile
+           ? boost::json::parse(SerializeProfile(*aLookup.mProfile)).as_object()
+           : boost::json::object{};
+}
+
+std::string
+TextOf(const boost::json::object& aFields, std::string_view aField)
+{
+  const auto* value = aFields.if_contains(aField);
+  return value == nullptr ? std::string() : boost::json::serialize(*value);
+}
+
+std::vector<FieldChange>
+DiffFields(const ProfileLookup& aBefore, const ProfileLookup& aAfter)
+{
+  const auto before = FieldsOf(aBefore);
+  const auto after = FieldsOf(aAfter);
+  std::vector<FieldChange> changes;
+  // Both sides list the same fields unless one of them is empty.
+  for (const auto& field : before.empty() ? after : before) {
+    const std::string name(field.key());
+    FieldChange change{ name, TextOf(before, name), TextOf(after, name) };
+    if (change.mBefore != change.mAfter) {
+      changes.push_back(std::move(change));
+    }
+  }
+  return changes;
+}
+
+} // namespace
+
+std::string_view
+ToText(ProfileStatus aStatus)
+{
+  switch (aStatus) {
+    case ProfileStatus::Unknown:
+      return "unknown";
+    case ProfileStatus::Active:
+      return "active";
+    case ProfileStatus::Retired:
+      return "retired";
+  }
+  return "unknown";
+}
+
+ProfileLookup
+CatalogueView::Find(const ProfileName& aName) const
+{
+  const auto found = mEntries.find(aName);
+  if (found == mEntries.end() || found->second->mRevision == Revision(0)) {
+    return {};
+  }
+  const auto& entry = *found->second;
+  const bool active = entry.mProfile && entry.mProfile->mState == ProfileState::Active;
+  return { active ? ProfileStatus::Active : ProfileStatus::Retired, entry.mRevision,
+           entry.mProfile };
+}
+
+std::vector<ProfileName>
+CatalogueView::Names() const
+{
+  std::vector<ProfileName> names;
+  for (const auto& [name, entry] : mEntries) {
+    if (entry->mRevision > Revision(0)) {
+      names.push_back(name);
+    }
+  }
+  std::sort(names.begin(), names.end());
+  return names;
+}
+
+std::vector<RejectedDocument>
+CatalogueView::Rejected() const
+{
+  std::vector<RejectedDocument> rejected;
+  for (const auto& [name, entry] : mEntries) {
+    if (entry->mRejected) {
+      rejected.push_back(*entry->mRejected);
+    }
+  }
+  std::sort(rejected.begin(), rejected.end(),
+            [](const RejectedDocument& aLeft, const RejectedDocument& aRight) {
+              return aLeft.mName < aRight.mName;
+            });
+  return rejected;
+}
+
+std::uint64_t
+CatalogueView::EntryHash(const ProfileName& aName, const Entry& aEntry)
+{
+  // A deletion that was seen in a watch and one that was derived from a full list have
+  // different revisions but the same effect, so its revision does not count.
+  const auto effective = aEntry.mProfile ? aEntry.mRevision.Value() : 0;
+  const auto deleted = !aEntry.mProfile && aEntry.mRevision > Revision(0) ? 1 : 0;
+  const auto rejected = aEntry.mRejected ? aEntry.mRejected->mRevision.Value() : 0;
+  const std::uint64_t numbers[] = { effective, static_cast<std::uint64_t>(deleted),
+                                    rejected };
+  const std::string_view bytes(reinterpret_cast<const char*>(numbers), sizeof(numbers));
+  return HashText(aName.Text(), HashText(bytes));
+}
+
+namespace {
+
+template<class Entry>
+std::shared_ptr<const Entry>
+WithEffective(const CheckedItem& aChecked, const Entry* aOld)
+{
+  auto entry =
+    aOld != nullptr ? std::make_shared<Entry>(*aOld) : std::make_shared<Entry>();
+  entry->mRevision = aChecked.mItem->mRevision;
+  entry->mProfile = aChecked.mProfile;
+  entry->mDocument = aChecked.mItem->mDeleted
+                       ? nullptr
+                       : std::make_shared<const std::string>(aChecked.mItem->mDocument);
+  if (entry->mRejected && entry->mRejected->mRevision <= entry->mRevision) {
+    entry->mRejected.reset();
+    entry->mRejectedDocument.reset();
+  }
+  return entry;
+}
+
+template<class Entry>
+std::shared_ptr<const Entry>
+WithRejected(const CheckedItem& aChecked, const Entry* aOld, TimePoint aNow)
+{
+  auto entry =
+    aOld != nullptr ? std::make_shared<Entry>(*aOld) : std::make_shared<Entry>();
+  entry->mRejected = RejectedDocument{ aChecked.mItem->mName, aChecked.mItem->mRevision,
+                                       aChecked.mCause, aNow };
+  entry->mRejectedDocument =
+    std::make_shared<const std::string>(aChecked.mItem->mDocument);
+  return entry;
+}
+
+/// The entry after @p aChecked; null when it brings nothing new.
+template<class Entry>
+std::shared_ptr<const Entry>
+Merged(const CheckedItem& aChecked, const Entry* aOld, TimePoint aNow)
+{
+  const auto revision = aChecked.mItem->mRevision;
+  if (aOld != nullptr && revision <= aOld->mRevision) {
+    return nullptr;
+  }
+  if (aChecked.mCause.empty()) {
+    return WithEffective(aChecked, aOld);
+  }
+  if (aOld != nullptr && aOld->mRejected && revision <= aOld->mRejected->mRevision) {
+    return nullptr;
+  }
+  return WithRejected(aChecked, aOld, aNow);
+}
+
+} // namespace
+
+Catalogue::Catalogue()
+  : mView(std::make_shared<const CatalogueView>())
+{
+}
+
+std::shared_ptr<const CatalogueView>
+Catalogue::View() const
+{
+  const std::lock_guard lock(mMutex);
+  return mView;
+}
+
+ApplyResult
+Catalogue::Apply(const CatalogueDelta& aDelta, TimePoint aNow)
+{
+  if (!IsConsistent(aDelta)) {
+    const auto revision = View()->AppliedRevision();
+    return { ApplyStatus::Malformed, revision, revision, {}, {} };
+  }
+  const auto checked = CheckItems(aDelta.mItems);
+
+  const std::lock_guard lock(mMutex);
+  const auto own = mView->mRevision;
+  ApplyResult result{ ApplyStatus::Unchanged, own, own, {}, {} };
+  // Whatever ends below the own revision is a prefix of the state that is held. Its
+  // items may name keys that were deleted since and are not known here any more.
+  if (aDelta.mTo < own) {
+    result.mStatus = ApplyStatus::Stale;
+    return result;
+  }
+  if (!aDelta.mFullList && aDelta.mFrom > own) {
+    result.mStatus = ApplyStatus::NeedsPull;
+    return result;
+  }
+
+  auto next = std::make_shared<CatalogueView>(*mView);
+  bool touched = aDelta.mTo > own;
+  const auto merge = [&](const CheckedItem& aChecked) {
+    const auto& name = aChecked.mItem->mName;
+    const auto found = next->mEntries.find(name);
+    const auto* old = found == next->mEntries.end() ? nullptr : found->second.get();
+    auto entry = Merged(aChecked, old, aNow);
+    if (!entry) {
+      return;
+    }
+    touched = true;
+    if (!aChecked.mCause.empty()) {
+      result.mRejected.push_back(*entry->mRejected);
+    } else {
+      result.mChanged.push_back(name);
+    }
+    next->mHash += CatalogueView::EntryHash(name, *entry) -
+                   (old != nullptr ? CatalogueView::EntryHash(name, *old) : 0);
+    next->mEntries[name] = std::move(entry);
+  };
+  for (const auto& item : checked) {
+    merge(item);
+  }
+  if (aDelta.mFullList) {
+    std::unordered_set<ProfileName> listed;
+    for (const auto& item : aDelta.mItems) {
+      listed.insert(item.mName);
+    }
+    for (const auto& [name, entry] : mView->mEntries) {
+      const bool exists = entry->mProfile || entry->mRejected;
+      if (exists && listed.count(name) == 0) {
+        const CatalogueItem deletion{ name, aDelta.mTo, true, {} };
+        merge(CheckedItem{ &deletion, nullptr, {} });
+      }
+    }
+    // Keys that were created and deleted between the two revisions are not known.
+    if (aDelta.mTo > own && aDelta.mDeletionsFrom > own) {
+      next->mDeletionsFrom = aDelta.mDeletionsFrom;
+    }
+  }
+  if (!touched) {
+    return result;
+  }
+  next->mRevision = aDelta.mTo;
+  std::sort(result.mChanged.begin(), result.mChanged.end());
+  result.mChanged.erase(std::unique(result.mChanged.begin(), result.mChanged.end()),
+                        result.mChanged.end());
+  result.mStatus = ApplyStatus::Applied;
+  result.mAfter = next->mRevision;
+  mView = std::move(next);
+  return result;
+}
+
+CatalogueDelta
+Catalogue::DeltaSince(Revision aSince) const
+{
+  const auto view = View();
+  CatalogueDelta delta;
+  delta.mTo = view->mRevision;
+  delta.mFullList = aSince < view->mDeletionsFrom;
+  delta.mFrom = delta.mFullList ? Revision(0) : std::min(aSince, delta.mTo);
+  delta.mDeletionsFrom = delta.mFullList ? view->mDeletionsFrom : Revision(0);
+  for (const auto& [name, entry] : view->mEntries) {
+    if (entry->mRevision > delta.mFrom) {
+      delta.mItems.push_back({ name, entry->mRevision, !entry->mProfile,
+                               entry->mDocument ? *entry->mDocument : std::string() });
+    }
+    if (entry->mRejected && entry->mRejected->mRevision > delta.mFrom) {
+      delta.mItems.push_back(
+        { name, entry->mRejected->mRevision, false, *entry->mRejectedDocument });
+    }
+  }
+  return delta;
+}
+
+std::vector<ProfileChange>
+Diff(const CatalogueView& aBefore, const CatalogueView& aAfter)
+{
+  const auto before = aBefore.Names();
+  const auto after = aAfter.Names();
+  std::vector<ProfileName> names;
+  std::set_union(before.begin(), before.end(), after.begin(), after.end(),
+                 std::back_inserter(names));
+  std::vector<ProfileChange> changes;
+  for (const auto& name : names) {
+    const auto left = aBefore.Find(name);
+    const auto right = aAfter.Find(name);
+    auto fields = DiffFields(left, right);
+    if (left.mStatus != right.mStatus || !fields.empty()) {
+      changes.push_back({ name, left.mStatus, right.mStatus, std::move(fields) });
+    }
+  }
+  return changes;
+}
+
+} // namespace wasabispar
--- /dev/null
+++ b/src/wasabispar/catalogue/catalogue_delta.cpp
@@ -0,0 +1,86 @@
+/// @file
+/// @brief Construction, size and splitting of deltas.
+#include "wasabispar/catalogue/catalogue_delta.hpp"
+
+#include <algorithm>
+
+namespace wasabispar {
+namespace {
+
+/// Revision, flags and the tags and lengths of the encoding.
+constexpr std::size_t kItemOverhead = 32;
+constexpr std::size_t kDeltaOverhead = 64;
+
+std::size_t
+EncodedSize(const CatalogueItem& aItem)
+{
+  return kItemOverhead + aItem.mName.Text().size() + aItem.mDocument.size();
+}
+
+/// The platform's revision may lag behind the items that it returns with it.
+Revision
+HighestRevision(Revision aRevision, const std::vector<CatalogueItem>& aItems)
+{
+  for (const auto& item : aItems) {
+    aRevision = std::max(aRevision, item.mRevision);
+  }
+  return aRevision;
+}
+
+} // namespace
+
+CatalogueDelta
+PlatformList(Revision aRevision, std::vector<CatalogueItem> aItems)
+{
+  CatalogueDelta delta;
+  delta.mTo = HighestRevision(aRevision, aItems);
+  delta.mFullList = true;
+  delta.mDeletionsFrom = delta.mTo;
+  delta.mItems = std::move(aItems);
+  return delta;
+}
+
+CatalogueDelta
+PlatformChanges(Revision aAfter, Revision aRevision, std::vector<CatalogueItem> aItems)
+{
+  CatalogueDelta delta;
+  delta.mTo = HighestRevision(aRevision, aItems);
+  delta.mFrom = std::min(aAfter, delta.mTo);
+  delta.mItems = std::move(aItems);
+  return delta;
+}
+
+std::size_t
+EncodedSize(const CatalogueDelta& aDelta)
+{
+  auto size = kDeltaOverhead;
+  for (const auto& item : aDelta.mItems) {
+    size += EncodedSize(item);
+  }
+  return size;
+}
+
+std::vector<CatalogueDelta>
+SplitDelta(CatalogueDelta aDelta, std::size_t aMaxBytes)
+{
+  auto items = std::move(aDelta.mItems);
+  aDelta.mItems.clear();
+  std::vector<CatalogueDelta> parts{ aDelta };
+  auto size = kDeltaOverhead;
+  for (auto& item : items) {
+    const auto itemSize = EncodedSize(item);
+    if (!parts.back().mItems.empty() && size + itemSize > aMaxBytes) {
+      parts.push_back(aDelta);
+      size = kDeltaOverhead;
+    }
+    size += itemSize;
+    parts.back().mItems.push_back(std::move(item));
+  }
+  for (std::size_t i = 0; i < parts.size(); ++i) {
+    parts[i].mPart = static_cast<std::uint32_t>(i);
+    parts[i].mParts = static_cast<std::uint32_t>(parts.size());
+  }
+  return parts;
+}
+
+} // namespace wasabispar
