--- a/include/wasabispar/catalogue/config_messages.hpp
+++ b/include/wasabispar/catalogue/config_messages.hpp
@@ -19,8 +19,10 @@
   /// Copied from the request into the reply.
   std::uint64_t mNonce = 0;
   bool mReply = false;
-  /// The sender has completed its start, so its revision counts for others' start.
+  /// The sender has learned a configuration, so its revision counts for others' start.
   bool mStarted = false;
+  /// The sender calls the platform and its last call succeeded.
+  bool mInContact = false;
   CatalogueDigest mDigest;
   /// Age of the last confirmed contact of the sender's data centre with the platform,
   /// at the time of sending; empty when there was none.
--- a/include/wasabispar/catalogue/config_sync.hpp
+++ b/include/wasabispar/catalogue/config_sync.hpp
@@ -41,13 +41,14 @@
   /// The first reserve rank takes over when the contact is older than this, the second
   /// when it is older than twice this, and so on. Must exceed twice mWatchTimeout, the
   /// greatest age in normal operation, plus some digest periods.
-  Duration mTakeOverAge = std::chrono::seconds(90);
+  Duration mTakeOverAge = std::chrono::seconds(60);
   /// Long-poll time of a watch.
-  Duration mWatchTimeout = std::chrono::seconds(20);
+  Duration mWatchTimeout = std::chrono::seconds(10);
   /// A call without reply this long after its own timeout counts as failed.
   Duration mCallTimeout = std::chrono::seconds(5);
-  /// A watcher reads the full list this often, to find deletions that were missed.
-  Duration mFullReadPeriod = std::chrono::minutes(10);
+  /// A watcher reads the full list this often, to find deletions that were missed. A
+  /// list that is newer than the own revision makes peers pull the whole catalogue.
+  Duration mFullReadPeriod = std::chrono::hours(1);
   /// A watch that returns nothing new is not repeated sooner.
   Duration mMinWatchPeriod = std::chrono::seconds(1);
   Duration mBackoffMin = std::chrono::milliseconds(500);
@@ -62,7 +63,7 @@
   std::size_t mMaxPushBytes = std::size_t(64) * 1024;
   /// Below the 2 MB limit of a fleet message.
   std::size_t mMaxMessageBytes = std::size_t(1536) * 1024;
-  /// At 4 s the digests cost about 0.2 KB/s of the 4 KB/s of a VM.
+  /// Period of the digest to one random peer.
   Duration mDigestPeriod = std::chrono::seconds(4);
   /// A pull without answer this long may be repeated.
   Duration mPullTimeout = std::chrono::seconds(2);
@@ -144,15 +145,24 @@
     bool mFull = false;
   };
 
+  /// How news are passed on.
+  enum class Spread
+  {
+    Delta,
+    /// The VM caught up by a pull, so most peers already hold the news.
+    Digest,
+  };
+
   bool IsLocal(const VmId& aVm) const;
   bool IsAlone() const { return mOthers.empty(); }
   Duration CallInterval() const;
   Duration Jittered(Duration aDuration);
   Duration RandomUpTo(Duration aLimit);
+  bool IsPullPending(TimePoint aNow) const;
   std::vector<VmId> RandomPeers(std::size_t aCount);
 
   void UpdateWatch(TimePoint aNow, ConfigActions& aActions);
-  bool ShouldWatch(TimePoint aNow) const;
+  bool ShouldWatch(TimePoint aNow);
   void CallPlatform(TimePoint aNow, ConfigActions& aActions);
   void ScheduleCall(TimePoint aNow, Duration aDelay);
   void CallFailed(TimePoint aNow);
@@ -172,9 +182,9 @@
   void SendPull(const VmId& aTo, Revision aSince, TimePoint aNow,
                 ConfigActions& aActions);
   ApplyStatus ApplyAndPush(const CatalogueDelta& aDelta, const VmId& aFrom,
-                           TimePoint aNow, ConfigActions& aActions);
-  void PushTo(const std::vector<VmId>& aPeers, Revision aSince, TimePoint aNow,
-              ConfigActions& aActions);
+                           Spread aSpread, TimePoint aNow, ConfigActions& aActions);
+  void PushTo(const std::vector<VmId>& aPeers, Revision aSince, Spread aSpread,
+              TimePoint aNow, ConfigActions& aActions);
 
   void AskForStart(TimePoint aNow, ConfigActions& aActions);
   void CheckStart(TimePoint aNow, ConfigActions& aActions);
@@ -186,10 +196,16 @@
   ConfigPeers mPeers;
   /// mPeers.mDataCentre without this VM, sorted.
   std::vector<VmId> mOthers;
-  /// Position of this VM in the rank for the watch.
+  /// The watchers and reserve watchers of the data centre, best rank first.
+  std::vector<VmId> mRanked;
+  /// Position of this VM in mRanked; its size when absent.
   std::size_t mRank = 0;
 
   bool mWatching = false;
+  /// A reserve rank that took over, until a better rank reports its own contact.
+  bool mTakenOver = false;
+  /// The last call to the platform succeeded.
+  bool mInContact = false;
   std::uint64_t mLastCall = 0;
   std::optional<PlatformCall> mCall;
   TimePoint mNextCallAt{};
--- /dev/null
+++ b/src/wasabispar/catalogue/config_messages.cpp
@@ -0,0 +1,30 @@
+/// @file
+/// @brief Texts and sizes of configuration messages.
+#include "wasabispar/catalogue/config_messages.hpp"
+
+namespace wasabispar {
+
+std::string_view
+ToText(StartSource aSource)
+{
+  switch (aSource) {
+    case StartSource::Peers:
+      return "peers";
+    case StartSource::Platform:
+      return "platform";
+    case StartSource::WaitExpired:
+      return "wait-expired";
+  }
+  return "wait-expired";
+}
+
+std::size_t
+EncodedSize(const ConfigMessage& aMessage)
+{
+  // Six numbers of at most ten bytes with their tags.
+  constexpr std::size_t kFixedPart = 64;
+  const auto* delta = std::get_if<CatalogueDeltaMessage>(&aMessage);
+  return kFixedPart + (delta != nullptr ? EncodedSize(delta->mDelta) : 0);
+}
+
+} // namespace wasabispar
