--- a/include/wasabispar/fleet/member.hpp
+++ b/include/wasabispar/fleet/member.hpp
@@ -64,7 +64,8 @@
   /// When this VM learnt the current state.
   TimePoint mSince{};
   ListedState mListed = ListedState::Absent;
-  /// The last list on which it was absent arrived at this time; empty if none did.
+  /// Arrival of the first of the latest lists in a row that do not name it; empty while
+  /// a list names it or none has arrived.
   std::optional<TimePoint> mAbsentSince;
 };
 
--- a/include/wasabispar/net/fleet_codec.hpp
+++ b/include/wasabispar/net/fleet_codec.hpp
@@ -43,14 +43,6 @@
   std::array<std::atomic<std::uint64_t>, kFleetDecodeErrors> mCounts{};
 };
 
-/// @brief Sender of a message, readable without decoding its content.
-struct FleetSender
-{
-  VmId mVm;
-  Incarnation mIncarnation;
-  DataCentreId mDataCentre;
-};
-
 /// @brief Encodes a message. Fails when it would exceed kMaxFleetMessageBytes.
 Result<std::string>
 EncodeFleet(const FleetEnvelope& aEnvelope);
@@ -60,7 +52,7 @@
 Result<FleetEnvelope>
 DecodeFleet(std::string_view aBytes, FleetDecodeCounters* aCounters = nullptr);
 
-/// @brief Step, peer and sequence-free name of the message, for example `ping`.
+/// @brief Name of the kind of message, for example `ping`.
 std::string_view
 MessageName(const FleetMessage& aMessage);
 
