--- a/include/wasabispar/query/query.hpp
+++ b/include/wasabispar/query/query.hpp
@@ -146,7 +146,14 @@
 ///
 /// Invariants: exactly one Finish; one version in an answer; each shard counts at most
 /// once; no SendSub after the deadline or after Finish. An event at or after the deadline
-/// ends the query; a reply that arrives with it still counts.
+/// ends the query; a reply that arrives with it still counts. The query ends early when
+/// nothing is open and no shard can still answer. An answer has at least one shard, also
+/// when the minimum coverage is 0.
+///
+/// Retries take a token of the budget. Without one, a shard whose only try failed is
+/// retried once all the same (`forced-retry`) and counted, because the coverage promise
+/// goes before the extra-load target. The same holds for the first replan; a second one
+/// needs a token.
 class Query
 {
 public:
@@ -177,34 +184,41 @@
     std::vector<std::size_t> mOpen;
     std::uint32_t mRetries = 0;
     bool mHedged = false;
-    bool mSent = false;
+    bool mCovered = false;
+    /// False after an end that makes no sense to retry.
+    bool mMayRetry = true;
     /// When a hedge is due; empty: none.
     std::optional<TimePoint> mHedgeAt;
-    /// The last end allows a retry on another replica.
-    bool mMayRetry = true;
     /// Why the shard has not answered.
     std::string mWhy;
   };
   using Actions = std::vector<QueryAction>;
 
   void BeginVersion(TimePoint aNow, Actions& aActions);
-  void SendFirst(TimePoint aNow, Actions& aActions);
   void Advance(TimePoint aNow, Actions& aActions);
-  bool Send(const ShardId& aShard, ShardState& aState, SubKind aKind, std::string aWhy,
-            const ReplicaChoice& aChoice, TimePoint aNow, Actions& aActions);
-  ReplicaChoice Choose(const ShardId& aShard, const ShardState& aState, SubKind aKind,
-                       TimePoint aNow);
+  void AdvanceIsolated(TimePoint aNow, Actions& aActions);
+  void AdvanceShards(TimePoint aNow, Actions& aActions);
+  void SendFirst(const ShardId& aShard, ShardState& aState, TimePoint aNow,
+                 Actions& aActions);
   void TryRetry(const ShardId& aShard, ShardState& aState, TimePoint aNow,
                 Actions& aActions);
   void TryHedge(const ShardId& aShard, ShardState& aState, TimePoint aNow,
                 Actions& aActions);
   bool TryReplan(TimePoint aNow, Actions& aActions);
-  void Count(const SubReply& aReply, ExplainSub& aSub, Actions& aActions);
+  void Send(const ShardId& aShard, ShardState& aState, SubKind aKind, std::string aWhy,
+            ReplicaChoice aChoice, TimePoint aNow, Actions& aActions);
+  ReplicaChoice Choose(const ShardId& aShard, const ShardState& aState, bool aExtra,
+                       TimePoint aNow) const;
+  void Settle(const SubReply& aReply, ExplainSub& aSub, TimePoint aNow,
+              Actions& aActions);
   void CancelOpen(ShardState& aState, TimePoint aNow, Actions& aActions);
+  bool MayStillAnswer(const ShardState& aState) const;
+  bool MayHedge(const ShardState& aState) const;
   bool MayFinish(TimePoint aNow) const;
+  bool IsRefusal() const;
+  bool AnyMayHaveRun() const;
   void FinishNow(TimePoint aNow, Actions& aActions);
   void Arm(TimePoint aNow, Actions& aActions);
-  bool AnyMayHaveRun() const;
 
   QueryPlan mPlan;
   QueryHooks mHooks;
@@ -212,13 +226,14 @@
   Coverage mCoverage;
   std::map<ShardId, ShardState> mShards;
   std::map<ShardId, std::vector<Hit>> mHits;
-  std::uint64_t mNextSub = 1;
+  /// Delay of hedges at the pinned version; empty: no hedges.
+  std::optional<Duration> mHedgeDelay;
   std::uint32_t mReplans = 0;
   bool mStarted = false;
   bool mFinished = false;
   /// The pinned version is gone; replan as soon as there is a newer one.
   bool mSnapshotGone = false;
-  /// When shards without a usable replica are looked at again.
+  /// When shards that nothing is open for are looked at again.
   std::optional<TimePoint> mRecheckAt;
   std::optional<TimePoint> mArmed;
 };
--- a/include/wasabispar/upstream/crash_tracker.hpp
+++ b/include/wasabispar/upstream/crash_tracker.hpp
@@ -63,21 +63,23 @@
 ///
 /// An upstream crash is the loss of all its exchanges, followed by a failed new
 /// connection. All requests that were in flight are suspect. Exchanges that were sent
-/// before the suspicion was known count as one crash, even if several upstreams went
+/// before the suspicion was known belong to one incident, even if several upstreams went
 /// down, so that the failure of a rack does not quarantine the queries that fan out over
-/// it. The second crash is one of an exchange that was sent under suspicion, or one that
-/// another VM saw on other upstreams. It quarantines the request.
+/// it. Incidents that other VMs report are the same one if they name a common upstream.
+/// A crash of an exchange that was sent under suspicion, or a second incident,
+/// quarantines the request. Incidents are compared when the hold time ends, when the
+/// reports are complete.
 ///
 /// Bound on the upstreams that one request takes down in a quarantine period, if it
 /// crashes each upstream that runs it. Let V be the number of VMs and W the number of
 /// upstreams that a VM has it in flight on before the first crash is known there (1 for a
 /// request to one shard without a hedge, else the width of the fan-out and its hedges):
 /// - each VM alone, whatever the facts do: W + 1;
-/// - all VMs, if facts arrive within the hold time: V * W + 1. After its own crash a VM
-///   waits for the hold time. A VM sends a second time only if it then knows of no crash
-///   on other upstreams, and of two VMs whose crashes were on different upstreams the
-///   later one would know the other's. If all first crashes were on one upstream, each VM
-///   sends once more: 1 + V.
+/// - all VMs, if facts arrive within the hold time: V * W + 1. A VM sends a second time
+///   only after its hold time and if it then knows of one incident. Of two VMs with
+///   separate incidents the later one knows the other's by then. So only VMs that share
+///   one incident send again: k of them lost at most k * W - (k - 1) upstreams and lose
+///   at most k more.
 ///
 /// A request that completes on all the shards that it was suspected on is cleared.
 class CrashTracker
@@ -94,16 +96,20 @@
                         TimePoint aNow);
   /// @brief The exchange ended. Only an end that shows that the request ran to completion
   /// (200 or 500) clears it; a lost connection is kept as a possible crash.
-  void OnEnded(std::uint64_t aExchange, ExchangeStatus aStatus, TimePoint aNow);
-  /// @brief A new connection to the upstream failed. Returns the facts to publish.
+  /// Until a new connection works or fails, at most for the loss window, the request is
+  /// held. Returns the facts to publish, as the events below do.
+  std::vector<CrashFact> OnEnded(std::uint64_t aExchange, ExchangeStatus aStatus,
+                                 TimePoint aNow);
+  /// @brief A new connection to the upstream failed. After a loss the caller tries one at
+  /// once.
   std::vector<CrashFact> OnConnectFailed(const UpstreamId& aUpstream, TimePoint aNow);
   /// @brief A new connection to the upstream worked: earlier losses were no crash.
   void OnConnected(const UpstreamId& aUpstream);
-  /// @brief Another VM published a fact. Returns the facts that follow from it.
-  std::vector<CrashFact> OnFact(const CrashFact& aFact, TimePoint aNow);
+  /// @brief Another VM published a fact. An own fact that comes back does no harm.
+  void OnFact(const CrashFact& aFact, TimePoint aNow);
   /// @brief Fingerprints in quarantine with the time of its end.
   std::map<RequestFingerprint, TimePoint> Quarantined(TimePoint aNow) const;
-  /// @brief Removes what has expired; call about once a minute.
+  /// @brief Removes what has expired; call about once a second.
   void Expire(TimePoint aNow);
 
 private:
@@ -120,26 +126,36 @@
   struct Finding
   {
     bool mQuarantined = false;
-    std::set<UpstreamId> mUpstreams;
+    /// Upstreams of the incident that this VM saw; empty if it only heard of others.
+    std::set<UpstreamId> mOwn;
+    /// Upstreams of each incident, own and reported; disjoint.
+    std::vector<std::set<UpstreamId>> mIncidents;
     /// Shards on which the request has not completed since the crash.
     std::set<ShardId> mShards;
     TimePoint mHoldUntil;
     TimePoint mExpires;
   };
 
+  const Finding* FindingOf(RequestFingerprint aFingerprint, TimePoint aNow) const;
+  bool IsQuarantined(const Finding& aFinding, TimePoint aNow) const;
   CrashVerdict JudgeLocked(RequestFingerprint aFingerprint, TimePoint aNow) const;
-  bool HasRunning(const UpstreamId& aUpstream) const;
-  CrashFact Quarantine(RequestFingerprint aFingerprint, Finding& aFinding,
-                       TimePoint aNow);
-  std::optional<CrashFact> AddCrash(const Exchange& aExchange, TimePoint aNow);
+  std::vector<CrashFact> CheckCrash(UpstreamId aUpstream, TimePoint aNow);
+  CrashFact AddCrash(const Exchange& aExchange, TimePoint aNow);
+  Finding& Suspect(RequestFingerprint aFingerprint, TimePoint aNow);
+  void Complete(const Exchange& aExchange);
+  void Erase(std::map<std::uint64_t, Exchange>::iterator aExchange);
 
   CrashTrackerOptions mOptions;
   /// Guards all members below.
   mutable std::mutex mMutex;
   std::map<std::uint64_t, Exchange> mExchanges;
-  /// Number of exchanges in mExchanges for each fingerprint.
+  /// The exchanges in mExchanges whose connection was lost.
+  std::set<std::uint64_t> mLost;
+  /// Number of exchanges in mExchanges for each fingerprint, lost ones included.
   std::map<RequestFingerprint, std::uint32_t> mInFlight;
   std::map<RequestFingerprint, Finding> mFindings;
+  /// Time of the last failed connection, by upstream.
+  std::map<UpstreamId, TimePoint> mFailedConnects;
 };
 
 } // namespace wasabispar
--- /dev/null
+++ b/src/wasabispar/query/explain.cpp
@@ -0,0 +1,86 @@
+/// @file
+/// @brief Text form of the explain record.
+#include "wasabispar/query/explain.hpp"
+
+#include <array>
+#include <iomanip>
+#include <sstream>
+
+namespace wasabispar {
+
+namespace {
+
+constexpr std::array<std::string_view, 4> kKinds{ "first", "hedge", "retry",
+                                                  "forced-retry" };
+constexpr std::array<std::string_view, 5> kFates{ "open", "counted", "failed", "mismatch",
+                                                  "cancelled" };
+
+void
+WriteTime(std::ostream& aOut, TimePoint aStart, TimePoint aAt)
+{
+  aOut << std::fixed << std::setprecision(1) << ToMillisecondsF(aAt - aStart) << "ms";
+}
+
+void
+WriteSub(std::ostream& aOut, const ExplainSub& aSub, TimePoint aStart)
+{
+  aOut << "sub " << aSub.mSub << " shard=" << aSub.mShard.Text()
+       << " version=" << aSub.mVersion.Value() << " upstream=" << aSub.mUpstream.Text()
+       << " kind=" << ToText(aSub.mKind) << " start=";
+  WriteTime(aOut, aStart, aSub.mStart);
+  aOut << " end=";
+  if (aSub.mEnd) {
+    WriteTime(aOut, aStart, *aSub.mEnd);
+  } else {
+    aOut << "-";
+  }
+  aOut << " status=" << (aSub.mStatus ? ToText(*aSub.mStatus) : "-")
+       << " fate=" << ToText(aSub.mFate);
+  if (!aSub.mWhy.empty()) {
+    aOut << " why=\"" << aSub.mWhy << "\"";
+  }
+  for (const auto& skipped : aSub.mSkipped) {
+    aOut << " skipped=" << skipped.mUpstream.Text() << ":" << ToText(skipped.mReason);
+  }
+  aOut << "\n";
+}
+
+} // namespace
+
+std::string_view
+ToText(SubKind aKind)
+{
+  return kKinds[static_cast<std::size_t>(aKind)];
+}
+
+std::string_view
+ToText(SubFate aFate)
+{
+  return kFates[static_cast<std::size_t>(aFate)];
+}
+
+std::string
+ToText(const ExplainRecord& aRecord)
+{
+  std::ostringstream out;
+  out << "query " << aRecord.mRequest.Text() << " vm=" << aRecord.mVm.Text()
+      << " index=" << aRecord.mIndex.Text() << " versions=";
+  for (std::size_t i = 0; i < aRecord.mVersions.size(); ++i) {
+    out << (i > 0 ? "," : "") << aRecord.mVersions[i].Value();
+  }
+  if (aRecord.mEnd) {
+    out << " end=";
+    WriteTime(out, aRecord.mStart, *aRecord.mEnd);
+  }
+  out << " ignored-replies=" << aRecord.mIgnoredReplies << "\n";
+  for (const auto& sub : aRecord.mSubs) {
+    WriteSub(out, sub, aRecord.mStart);
+  }
+  for (const auto& missing : aRecord.mMissing) {
+    out << "missing " << missing.mShard.Text() << " why=\"" << missing.mWhy << "\"\n";
+  }
+  out << "verdict " << aRecord.mVerdict << "\n";
+  return out.str();
+}
+
+} // namespace wasabispar
--- /dev/null
+++ b/src/wasabispar/query/load_budget.cpp
@@ -0,0 +1,98 @@
+/// @file
+/// @brief Token bucket for extra load.
+#include "wasabispar/query/load_budget.hpp"
+
+#include <algorithm>
+
+namespace wasabispar {
+
+namespace {
+
+constexpr std::int64_t kToken = 1000;
+constexpr std::uint64_t kLevelWindow = 10'000;
+
+} // namespace
+
+Permille
+LoadCounts::ExtraLoadShare() const
+{
+  return mNeeded == 0 ? Permille(0) : Permille::Of(mHedges + mRetries + mForced, mNeeded);
+}
+
+LoadBudget::LoadBudget(LoadBudgetOptions aOptions)
+  : mOptions(aOptions)
+  , mTokens(kToken * aOptions.mBurst)
+{
+}
+
+void
+LoadBudget::OnNeeded(std::uint64_t aCount)
+{
+  const std::lock_guard lock(mMutex);
+  mCounts.mNeeded += aCount;
+  const auto earned = static_cast<std::int64_t>(aCount) * mOptions.mBudget.Value();
+  mTokens = std::min(mTokens + earned, kToken * mOptions.mBurst);
+  mRecentNeeded += aCount;
+  if (mRecentNeeded >= 2 * kLevelWindow) {
+    mRecentNeeded /= 2;
+    mRecentExtra /= 2;
+  }
+}
+
+bool
+LoadBudget::TryTake(ExtraLoad aKind, TimePoint aNow)
+{
+  const std::lock_guard lock(mMutex);
+  const bool fleetOver = aNow < mFleetLevelUntil && mFleetLevel > mOptions.mBudget;
+  const bool noHedge = aKind == ExtraLoad::Hedge && (aNow < mShedUntil || fleetOver);
+  if (noHedge || mTokens < kToken) {
+    ++mCounts.mRefused;
+    return false;
+  }
+  mTokens -= kToken;
+  ++mRecentExtra;
+  ++(aKind == ExtraLoad::Hedge ? mCounts.mHedges : mCounts.mRetries);
+  return true;
+}
+
+void
+LoadBudget::TakeForced(std::uint64_t aCount)
+{
+  const std::lock_guard lock(mMutex);
+  mCounts.mForced += aCount;
+  mRecentExtra += aCount;
+  // The debt is limited, so that a long outage does not stop hedging for long after it.
+  const auto floor = -kToken * static_cast<std::int64_t>(mOptions.mBurst);
+  mTokens = std::max(mTokens - kToken * static_cast<std::int64_t>(aCount), floor);
+}
+
+void
+LoadBudget::OnShed(TimePoint aNow)
+{
+  const std::lock_guard lock(mMutex);
+  mShedUntil = std::max(mShedUntil, aNow + mOptions.mShedPause);
+}
+
+Permille
+LoadBudget::Level() const
+{
+  const std::lock_guard lock(mMutex);
+  return mRecentNeeded == 0 ? Permille(0) : Permille::Of(mRecentExtra, mRecentNeeded);
+}
+
+void
+LoadBudget::OnFleetLevel(Permille aLevel, TimePoint aNow)
+{
+  const std::lock_guard lock(mMutex);
+  mFleetLevel = aLevel;
+  mFleetLevelUntil = aNow + mOptions.mFleetLevelLife;
+}
+
+LoadCounts
+LoadBudget::Counts() const
+{
+  const std::lock_guard lock(mMutex);
+  return mCounts;
+}
+
+} // namespace wasabispar
--- /dev/null
+++ b/src/wasabispar/query/query.cpp
@@ -0,0 +1,467 @@
+/// @file
+/// @brief The state machine of one running search.
+#include "wasabispar/query/query.hpp"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace wasabispar {
+
+namespace {
+
+/// A shorter delay than this would arm timers for latencies that timers cannot resolve.
+constexpr Duration kMinHedgeDelay = std::chrono::milliseconds(1);
+
+std::string
+By(ExchangeStatus aStatus, const UpstreamId& aUpstream)
+{
+  return std::string(ToText(aStatus)) + " by " + aUpstream.Text();
+}
+
+std::string
+NoReplica(const std::vector<SkippedReplica>& aSkipped)
+{
+  std::string text = "no usable replica";
+  for (const auto& skipped : aSkipped) {
+    text += ", " + skipped.mUpstream.Text() + " " + std::string(ToText(skipped.mReason));
+  }
+  return text;
+}
+
+void
+Earlier(std::optional<TimePoint>& aNext, TimePoint aAt)
+{
+  aNext = aNext ? std::min(*aNext, aAt) : aAt;
+}
+
+} // namespace
+
+Query::Query(QueryPlan aPlan, QueryHooks aHooks)
+  : mPlan(std::move(aPlan))
+  , mHooks(std::move(aHooks))
+{
+  mExplain.mVm = mPlan.mVm;
+  mExplain.mRequest = mPlan.mRequest;
+  mExplain.mIndex = mPlan.mSnapshot.mIndex;
+}
+
+std::vector<QueryAction>
+Query::Start(TimePoint aNow)
+{
+  Actions actions;
+  if (std::exchange(mStarted, true)) {
+    return actions;
+  }
+  mExplain.mStart = aNow;
+  BeginVersion(aNow, actions);
+  return actions;
+}
+
+std::vector<QueryAction>
+Query::OnReply(const SubReply& aReply, TimePoint aNow)
+{
+  Actions actions;
+  const bool known = aReply.mSub >= 1 && aReply.mSub <= mExplain.mSubs.size();
+  if (mFinished || !known || mExplain.mSubs[aReply.mSub - 1].mFate != SubFate::Open) {
+    ++mExplain.mIgnoredReplies;
+    return actions;
+  }
+  Settle(aReply, mExplain.mSubs[aReply.mSub - 1], aNow, actions);
+  Advance(aNow, actions);
+  return actions;
+}
+
+std::vector<QueryAction>
+Query::OnTimer(TimePoint aNow)
+{
+  Actions actions;
+  if (!mStarted || mFinished) {
+    return actions;
+  }
+  if (mArmed && *mArmed <= aNow) {
+    mArmed.reset();
+  }
+  Advance(aNow, actions);
+  return actions;
+}
+
+std::vector<QueryAction>
+Query::OnSnapshotGone(TimePoint aNow)
+{
+  Actions actions;
+  if (!mStarted || mFinished) {
+    return actions;
+  }
+  mSnapshotGone = true;
+  mRecheckAt = aNow;
+  Advance(aNow, actions);
+  return actions;
+}
+
+void
+Query::BeginVersion(TimePoint aNow, Actions& aActions)
+{
+  mSnapshotGone = false;
+  mRecheckAt = aNow;
+  mCoverage = Coverage(mPlan.mSnapshot.mShards);
+  mHits.clear();
+  mShards.clear();
+  for (const auto& shard : mPlan.mSnapshot.mShards) {
+    mShards.try_emplace(shard);
+  }
+  mExplain.mVersions.push_back(mPlan.mSnapshot.mVersion);
+  mHedgeDelay.reset();
+  if (mPlan.mHedging && mPlan.mIdempotent && !mPlan.mIsolated) {
+    mHedgeDelay = mHooks.mHedgeDelay(mPlan.mSnapshot.mIndex, aNow);
+  }
+  if (mHedgeDelay) {
+    mHedgeDelay = std::max(*mHedgeDelay, kMinHedgeDelay);
+  }
+  Advance(aNow, aActions);
+}
+
+/// Does all that is due: finish, replan, first tries, retries, hedges, timer.
+void
+Query::Advance(TimePoint aNow, Actions& aActions)
+{
+  if (MayFinish(aNow)) {
+    FinishNow(aNow, aActions);
+    return;
+  }
+  if (mPlan.mIsolated) {
+    AdvanceIsolated(aNow, aActions);
+  } else {
+    AdvanceShards(aNow, aActions);
+  }
+  const bool recheck = mRecheckAt && *mRecheckAt <= aNow;
+  if (recheck) {
+    mRecheckAt.reset();
+  }
+  if (mSnapshotGone && recheck && TryReplan(aNow, aActions)) {
+    return;
+  }
+  if (MayFinish(aNow)) {
+    FinishNow(aNow, aActions);
+    return;
+  }
+  Arm(aNow, aActions);
+}
+
+/// A suspect request runs on one upstream at a time, so that it takes down at most one.
+void
+Query::AdvanceIsolated(TimePoint aNow, Actions& aActions)
+{
+  const bool open = std::ranges::any_of(
+    mShards, [](const auto& aItem) { return !aItem.second.mOpen.empty(); });
+  for (auto& [shard, state] : mShards) {
+    if (open) {
+      return;
+    }
+    if (!state.mCovered && state.mTried.empty()) {
+      SendFirst(shard, state, aNow, aActions);
+      if (!state.mOpen.empty()) {
+        return;
+      }
+    }
+  }
+}
+
+void
+Query::AdvanceShards(TimePoint aNow, Actions& aActions)
+{
+  const bool recheck = mRecheckAt && *mRecheckAt <= aNow;
+  for (auto& [shard, state] : mShards) {
+    if (state.mCovered) {
+      continue;
+    }
+    if (!state.mOpen.empty()) {
+      TryHedge(shard, state, aNow, aActions);
+    } else if (recheck && state.mTried.empty()) {
+      SendFirst(shard, state, aNow, aActions);
+    } else if (recheck && MayStillAnswer(state)) {
+      TryRetry(shard, state, aNow, aActions);
+    }
+  }
+}
+
+void
+Query::SendFirst(const ShardId& aShard, ShardState& aState, TimePoint aNow,
+                 Actions& aActions)
+{
+  auto choice = Choose(aShard, aState, false, aNow);
+  if (!choice.mUpstream) {
+    aState.mWhy = NoReplica(choice.mSkipped);
+    return;
+  }
+  // Sub-requests of a replan repeat work that the query already paid for.
+  (mReplans == 0 ? mHooks.mCountNeeded : mHooks.mCountForced)(1);
+  Send(aShard, aState, SubKind::First, {}, std::move(choice), aNow, aActions);
+}
+
+void
+Query::TryRetry(const ShardId& aShard, ShardState& aState, TimePoint aNow,
+                Actions& aActions)
+{
+  auto choice = Choose(aShard, aState, true, aNow);
+  if (!choice.mUpstream) {
+    return;
+  }
+  auto kind = SubKind::Retry;
+  if (!mHooks.mTakeBudget(ExtraLoad::Retry, aNow)) {
+    if (aState.mTried.size() > 1) {
+      return;
+    }
+    kind = SubKind::ForcedRetry;
+    mHooks.mCountForced(1);
+  }
+  ++aState.mRetries;
+  Send(aShard, aState, kind, aState.mWhy, std::move(choice), aNow, aActions);
+}
+
+void
+Query::TryHedge(const ShardId& aShard, ShardState& aState, TimePoint aNow,
+                Actions& aActions)
+{
+  if (!MayHedge(aState) || *aState.mHedgeAt > aNow) {
+    return;
+  }
+  auto choice = Choose(aShard, aState, true, aNow);
+  if (!choice.mUpstream || !mHooks.mTakeBudget(ExtraLoad::Hedge, aNow)) {
+    aState.mHedgeAt = aNow + *mHedgeDelay;
+    return;
+  }
+  aState.mHedged = true;
+  const auto& open = mExplain.mSubs[aState.mOpen.front()];
+  Send(aShard, aState, SubKind::Hedge, "no reply from " + open.mUpstream.Text(),
+       std::move(choice), aNow, aActions);
+}
+
+bool
+Query::TryReplan(TimePoint aNow, Actions& aActions)
+{
+  if (mReplans >= kMaxReplans) {
+    return false;
+  }
+  auto snapshot = mHooks.mChooseSnapshot(mPlan.mSnapshot.mIndex, mPlan.mWanted, aNow);
+  if (!snapshot || snapshot->mVersion <= mPlan.mSnapshot.mVersion ||
+      snapshot->mShards.empty()) {
+    return false;
+  }
+  if (mReplans > 0 && !mHooks.mTakeBudget(ExtraLoad::Retry, aNow)) {
+    return false;
+  }
+  for (auto& [shard, state] : mShards) {
+    CancelOpen(state, aNow, aActions);
+  }
+  ++mReplans;
+  mPlan.mSnapshot = std::move(*snapshot);
+  BeginVersion(aNow, aActions);
+  return true;
+}
+
+void
+Query::Send(const ShardId& aShard, ShardState& aState, SubKind aKind, std::string aWhy,
+            ReplicaChoice aChoice, TimePoint aNow, Actions& aActions)
+{
+  ExplainSub sub;
+  sub.mSub = mExplain.mSubs.size() + 1;
+  sub.mShard = aShard;
+  sub.mVersion = mPlan.mSnapshot.mVersion;
+  sub.mUpstream = *aChoice.mUpstream;
+  sub.mKind = aKind;
+  sub.mWhy = std::move(aWhy);
+  sub.mStart = aNow;
+  sub.mSkipped = std::move(aChoice.mSkipped);
+  aActions.emplace_back(
+    SendSub{ sub.mSub, sub.mVersion, aShard, sub.mUpstream, aKind, mPlan.mDeadline });
+  aState.mTried.push_back(sub.mUpstream);
+  aState.mOpen.push_back(mExplain.mSubs.size());
+  if (mHedgeDelay) {
+    aState.mHedgeAt = aNow + *mHedgeDelay;
+  }
+  mExplain.mSubs.push_back(std::move(sub));
+}
+
+ReplicaChoice
+Query::Choose(const ShardId& aShard, const ShardState& aState, bool aExtra,
+              TimePoint aNow) const
+{
+  ReplicaRequest request;
+  request.mIndex = mPlan.mSnapshot.mIndex;
+  request.mVersion = mPlan.mSnapshot.mVersion;
+  request.mShard = aShard;
+  request.mTried = aState.mTried;
+  request.mExtra = aExtra;
+  request.mIsolated = mPlan.mIsolated;
+  return mHooks.mChooseReplica(request, aNow);
+}
+
+void
+Query::Settle(const SubReply& aReply, ExplainSub& aSub, TimePoint aNow, Actions& aActions)
+{
+  auto& state = mShards.at(aSub.mShard);
+  std::erase(state.mOpen, aSub.mSub - 1);
+  aSub.mEnd = aNow;
+  aSub.mStatus = aReply.mStatus;
+  const bool matches = aReply.mVersion == aSub.mVersion && aReply.mShard == aSub.mShard;
+  if (aReply.mStatus == ExchangeStatus::Ok && matches) {
+    aSub.mFate = SubFate::Counted;
+    state.mCovered = mCoverage.Add(aSub.mShard);
+    mHits.emplace(aSub.mShard, aReply.mHits);
+    CancelOpen(state, aNow, aActions);
+    return;
+  }
+  const bool mismatch = aReply.mStatus == ExchangeStatus::Ok;
+  aSub.mFate = mismatch ? SubFate::Mismatch : SubFate::Failed;
+  state.mWhy = mismatch
+                 ? "answered version " + std::to_string(aReply.mVersion.Value()) +
+                     " shard " + aReply.mShard.Text() + " by " + aSub.mUpstream.Text()
+                 : By(aReply.mStatus, aSub.mUpstream);
+  if (!mismatch && !IsRetryable(aReply.mStatus, mPlan.mIdempotent)) {
+    state.mMayRetry = false;
+  }
+  if (!state.mOpen.empty() || mPlan.mIsolated || aNow >= mPlan.mDeadline) {
+    return;
+  }
+  if (MayStillAnswer(state)) {
+    TryRetry(aSub.mShard, state, aNow, aActions);
+  }
+  if (state.mOpen.empty() && aReply.mStatus == ExchangeStatus::VersionGone) {
+    mSnapshotGone = true;
+    mRecheckAt = aNow;
+  }
+}
+
+void
+Query::CancelOpen(ShardState& aState, TimePoint aNow, Actions& aActions)
+{
+  for (const auto index : aState.mOpen) {
+    auto& sub = mExplain.mSubs[index];
+    sub.mEnd = aNow;
+    sub.mFate = SubFate::Cancelled;
+    aActions.emplace_back(CancelSub{ sub.mSub, sub.mUpstream });
+  }
+  aState.mOpen.clear();
+}
+
+/// Whether the shard can still answer without a replan.
+bool
+Query::MayStillAnswer(const ShardState& aState) const
+{
+  if (!aState.mOpen.empty() || aState.mTried.empty()) {
+    return true;
+  }
+  return aState.mMayRetry && aState.mRetries < kMaxRetries && !mPlan.mIsolated;
+}
+
+bool
+Query::MayHedge(const ShardState& aState) const
+{
+  return !aState.mCovered && !aState.mHedged && aState.mOpen.size() == 1 &&
+         aState.mHedgeAt.has_value();
+}
+
+bool
+Query::MayFinish(TimePoint aNow) const
+{
+  if (aNow >= mPlan.mDeadline || mCoverage.IsComplete()) {
+    return true;
+  }
+  const bool hopeless =
+    !mSnapshotGone && std::ranges::none_of(mShards, [&](const auto& aItem) {
+      return !aItem.second.mCovered && MayStillAnswer(aItem.second);
+    });
+  if (hopeless) {
+    return true;
+  }
+  if (mPlan.mPolicy == PartialPolicy::WaitForCoverage) {
+    return !IsRefusal() && mCoverage.Share() >= mPlan.mWanted;
+  }
+  return !IsRefusal() && aNow >= mPlan.mTarget;
+}
+
+bool
+Query::IsRefusal() const
+{
+  return mCoverage.Answered() == 0 || mCoverage.Share() < mPlan.mMinimum;
+}
+
+bool
+Query::AnyMayHaveRun() const
+{
+  return std::ranges::any_of(mExplain.mSubs, [](const ExplainSub& aSub) {
+    return !aSub.mStatus || MayHaveRun(*aSub.mStatus);
+  });
+}
+
+void
+Query::FinishNow(TimePoint aNow, Actions& aActions)
+{
+  mFinished = true;
+  Answer answer;
+  for (const auto& shard : mCoverage.Missing()) {
+    const auto& state = mShards.at(shard);
+    std::string why = state.mWhy.empty() ? "not sent" : state.mWhy;
+    if (!state.mOpen.empty()) {
+      why = "no reply from " + mExplain.mSubs[state.mOpen.back()].mUpstream.Text();
+    }
+    mExplain.mMissing.push_back({ shard, std::move(why) });
+  }
+  const auto outcome = AnyMayHaveRun() ? Outcome::OutcomeUnknown : Outcome::NotRun;
+  for (auto& [shard, state] : mShards) {
+    CancelOpen(state, aNow, aActions);
+  }
+  const auto share = std::to_string(mCoverage.Share().Value());
+  if (IsRefusal()) {
+    const bool empty = mPlan.mSnapshot.mShards.empty();
+    const auto step = empty                     ? Step::ChooseSnapshot
+                      : aNow >= mPlan.mDeadline ? Step::Deadline
+                                                : Step::UpstreamReply;
+    auto cause = empty ? std::string("the snapshot has no shards")
+                       : "coverage " + (mCoverage.Answered() == 0 ? "0" : share) +
+                           " permille, minimum " + std::to_string(mPlan.mMinimum.Value());
+    mExplain.mVerdict =
+      std::string("refused ") + std::string(ToText(outcome)) + ": " + cause;
+    answer.mRefusal = Error{ step, {}, outcome, std::move(cause) };
+  } else {
+    answer.mHits = MergeHits(mHits, mPlan.mLimit);
+    answer.mPartial = !mCoverage.IsComplete();
+    mExplain.mVerdict =
+      std::string(answer.mPartial ? "partial" : "complete") + ", coverage " + share;
+  }
+  mExplain.mEnd = aNow;
+  answer.mRequest = mPlan.mRequest;
+  answer.mVersion = mPlan.mSnapshot.mVersion;
+  answer.mCoverage = mCoverage;
+  answer.mExplain = mExplain;
+  aActions.emplace_back(Finish{ std::move(answer) });
+}
+
+void
+Query::Arm(TimePoint aNow, Actions& aActions)
+{
+  std::optional<TimePoint> next = mPlan.mDeadline;
+  if (mPlan.mPolicy == PartialPolicy::AnswerAtTarget && aNow < mPlan.mTarget) {
+    Earlier(next, mPlan.mTarget);
+  }
+  bool idle = mSnapshotGone;
+  for (const auto& [shard, state] : mShards) {
+    idle = idle || (!state.mCovered && state.mOpen.empty() && MayStillAnswer(state));
+    if (MayHedge(state)) {
+      Earlier(next, *state.mHedgeAt);
+    }
+  }
+  if (idle && !mRecheckAt) {
+    mRecheckAt = aNow + kRecheck;
+  }
+  if (mRecheckAt) {
+    Earlier(next, *mRecheckAt);
+  }
+  if (next != mArmed) {
+    mArmed = next;
+    aActions.emplace_back(ArmTimer{ *next });
+  }
+}
+
+} // namespace wasabispar
--- /dev/null
+++ b/src/wasabispar/upstream/replica_choice.cpp
@@ -0,0 +1,143 @@
+/// @file
+/// @brief Power of two choices with reasons.
+#include "wasabispar/upstream/replica_choice.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace wasabispar {
+
+namespace {
+
+constexpr std::array<std::string_view, 7> kReasons{ "leaving",      "already-tried",
+                                                    "suspect",      "not-held",
+                                                    "isolated",     "not-idle",
+                                                    "at-slot-limit" };
+
+bool
+Holds(const UpstreamView& aView, const ReplicaRequest& aRequest)
+{
+  return std::ranges::any_of(*aView.mVersions, [&](const DeclaredVersion& aVersion) {
+    return aVersion.mVersion == aRequest.mVersion &&
+           std::ranges::find(aVersion.mHeld, aRequest.mShard) != aVersion.mHeld.end();
+  });
+}
+
+std::optional<SkipReason>
+ReasonToSkip(const UpstreamView& aView, const ReplicaRequest& aRequest)
+{
+  if (aView.mLeaving) {
+    return SkipReason::Leaving;
+  }
+  if (std::ranges::find(aRequest.mTried, aView.mDeclaration.mUpstream) !=
+      aRequest.mTried.end()) {
+    return SkipReason::AlreadyTried;
+  }
+  if (aView.mSuspect) {
+    return SkipReason::Suspect;
+  }
+  if (!Holds(aView, aRequest)) {
+    return SkipReason::NotHeld;
+  }
+  if (aView.mIsolated) {
+    return SkipReason::Isolated;
+  }
+  if (aRequest.mIsolated && aView.mInFlight > 0) {
+    return SkipReason::NotIdle;
+  }
+  if (aRequest.mExtra && aView.mInFlight >= aView.mSlotLimit) {
+    return SkipReason::AtSlotLimit;
+  }
+  return std::nullopt;
+}
+
+/// Lower is better. @p aFallback stands for the latency of an upstream without one.
+double
+Cost(const UpstreamView& aView, Duration aFallback)
+{
+  const auto latency =
+    aView.mMeanLatency > Duration::zero() ? aView.mMeanLatency : aFallback;
+  double cost = static_cast<double>(latency.count()) * (aView.mInFlight + 1);
+  cost /= std::max(aView.mWarmth.Fraction(), 0.01);
+  if (aView.mInFlight >= aView.mSlotLimit) {
+    // It would have to wait; a replica with a free slot goes first unless it is much
+    // slower.
+    cost *= 4;
+  }
+  if (!aView.mObserved) {
+    cost *= 1 + aView.mLoadHint.Fraction();
+    cost *= aView.mHealthHint ? 1 : 4;
+  }
+  return cost;
+}
+
+/// Mean of the known latencies, at least 1 ns.
+Duration
+FallbackLatency(const std::vector<const UpstreamView*>& aViews)
+{
+  Duration sum{};
+  int count = 0;
+  for (const auto* view : aViews) {
+    if (view->mMeanLatency > Duration::zero()) {
+      sum += view->mMeanLatency;
+      ++count;
+    }
+  }
+  return count > 0 ? sum / count : Duration(1);
+}
+
+} // namespace
+
+std::string_view
+ToText(SkipReason aReason)
+{
+  return kReasons[static_cast<std::size_t>(aReason)];
+}
+
+ReplicaChoice
+ChooseReplica(const std::vector<UpstreamView>& aHolders, const ReplicaRequest& aRequest,
+              RandomFn& aRandom)
+{
+  ReplicaChoice choice;
+  std::vector<const UpstreamView*> passed;
+  for (const auto& holder : aHolders) {
+    if (const auto reason = ReasonToSkip(holder, aRequest)) {
+      choice.mSkipped.push_back({ holder.mDeclaration.mUpstream, *reason });
+    } else {
+      passed.push_back(&holder);
+    }
+  }
+  if (passed.empty()) {
+    return choice;
+  }
+  const auto* best = passed.front();
+  if (passed.size() > 1) {
+    const auto first = aRandom(passed.size());
+    auto second = aRandom(passed.size() - 1);
+    second += second >= first ? 1 : 0;
+    const auto fallback = FallbackLatency(passed);
+    best = passed[first];
+    // A tie goes to the first, which is random.
+    if (Cost(*passed[second], fallback) < Cost(*best, fallback)) {
+      best = passed[second];
+    }
+  }
+  choice.mUpstream = best->mDeclaration.mUpstream;
+  return choice;
+}
+
+ReplicaChoice
+ChooseReplica(const SnapshotDirectory& aDirectory, const UpstreamTable& aTable,
+              const ReplicaRequest& aRequest, RandomFn& aRandom, TimePoint aNow)
+{
+  std::vector<UpstreamView> holders;
+  for (const auto& id :
+       aDirectory.Holders(aRequest.mIndex, aRequest.mVersion, aRequest.mShard, aNow)) {
+    if (auto view = aTable.Find(id, aNow)) {
+      holders.push_back(std::move(*view));
+    }
+  }
+  return ChooseReplica(holders, aRequest, aRandom);
+}
+
+} // namespace wasabispar
--- /dev/null
+++ b/src/wasabispar/upstream/snapshot_directory.cpp
@@ -0,0 +1,127 @@
+/// @file
+/// @brief Versions of each index and the holders of their shards.
+#include "wasabispar/upstream/snapshot_directory.hpp"
+
+#include <algorithm>
+#include <functional>
+
+namespace wasabispar {
+
+SnapshotDirectory::SnapshotDirectory(const UpstreamTable& aTable,
+                                     SnapshotDirectoryOptions aOptions)
+  : mTable(aTable)
+  , mOptions(aOptions)
+{
+}
+
+std::optional<Snapshot>
+SnapshotDirectory::Choose(const IndexName& aIndex, Permille aWanted, TimePoint aNow) const
+{
+  const auto view = View(aIndex, aNow);
+  const Snapshot* best = nullptr;
+  for (const auto& version : view->mVersions) {
+    if (version.mSnapshot.mReachable >= aWanted) {
+      return version.mSnapshot;
+    }
+    if (best == nullptr || version.mSnapshot.mReachable > best->mReachable) {
+      best = &version.mSnapshot;
+    }
+  }
+  return best != nullptr ? std::optional(*best) : std::nullopt;
+}
+
+std::vector<Snapshot>
+SnapshotDirectory::Versions(const IndexName& aIndex, TimePoint aNow) const
+{
+  std::vector<Snapshot> versions;
+  for (const auto& version : View(aIndex, aNow)->mVersions) {
+    versions.push_back(version.mSnapshot);
+  }
+  return versions;
+}
+
+std::vector<UpstreamId>
+SnapshotDirectory::Holders(const IndexName& aIndex, SnapshotVersion aVersion,
+                           const ShardId& aShard, TimePoint aNow) const
+{
+  const auto view = View(aIndex, aNow);
+  for (const auto& version : view->mVersions) {
+    if (version.mSnapshot.mVersion != aVersion) {
+      continue;
+    }
+    const auto found = version.mHolders.find(aShard);
+    return found != version.mHolders.end() ? found->second : std::vector<UpstreamId>();
+  }
+  return {};
+}
+
+std::shared_ptr<const SnapshotDirectory::IndexView>
+SnapshotDirectory::View(const IndexName& aIndex, TimePoint aNow) const
+{
+  const auto generation = mTable.Generation();
+  {
+    const std::lock_guard lock(mMutex);
+    const auto found = mViews.find(aIndex);
+    if (found != mViews.end() && found->second->mGeneration == generation &&
+        aNow >= found->second->mBuilt &&
+        aNow - found->second->mBuilt < mOptions.mMaxAge) {
+      return found->second;
+    }
+  }
+  // Built without the lock, because it takes the locks of the table.
+  auto view = Build(aIndex, aNow);
+  const std::lock_guard lock(mMutex);
+  mViews[aIndex] = view;
+  return view;
+}
+
+std::shared_ptr<const SnapshotDirectory::IndexView>
+SnapshotDirectory::Build(const IndexName& aIndex, TimePoint aNow) const
+{
+  auto view = std::make_shared<IndexView>();
+  // Read before the table, so that a change meanwhile makes the view out of date.
+  view->mGeneration = mTable.Generation();
+  view->mBuilt = aNow;
+  struct Shard
+  {
+    std::vector<UpstreamId> mHolders;
+    bool mReachable = false;
+  };
+  std::map<SnapshotVersion, std::map<ShardId, Shard>, std::greater<>> versions;
+  for (const auto& upstream : mTable.OfIndex(aIndex, aNow)) {
+    const bool usable = !upstream.mLeaving && !upstream.mSuspect && upstream.mLastReply &&
+                        aNow - *upstream.mLastReply <= mOptions.mRecent;
+    for (const auto& declared : *upstream.mVersions) {
+      auto& shards = versions[declared.mVersion];
+      for (const auto& shard : declared.mMap) {
+        shards.try_emplace(shard);
+      }
+      for (const auto& shard : declared.mHeld) {
+        auto& entry = shards[shard];
+        entry.mReachable = entry.mReachable || usable;
+        const auto& id = upstream.mDeclaration.mUpstream;
+        if (entry.mHolders.empty() || entry.mHolders.back() != id) {
+          entry.mHolders.push_back(id);
+        }
+      }
+    }
+  }
+  for (auto& [number, shards] : versions) {
+    VersionEntry version;
+    version.mSnapshot.mIndex = aIndex;
+    version.mSnapshot.mVersion = number;
+    std::uint64_t reachable = 0;
+    for (auto& [shard, entry] : shards) {
+      version.mSnapshot.mShards.push_back(shard);
+      reachable += entry.mReachable ? 1 : 0;
+      version.mHolders.emplace(shard, std::move(entry.mHolders));
+    }
+    // A version without shards has no coverage; Permille::Of() would say 1000.
+    version.mSnapshot.mReachable =
+      shards.empty() ? Permille(0) : Permille::Of(reachable, shards.size());
+    view->mVersions.push_back(std::move(version));
+  }
+  return view;
+}
+
+} // namespace wasabispar
--- /dev/null
+++ b/src/wasabispar/upstream/upstream_table.cpp
@@ -0,0 +1,415 @@
+/// @file
+/// @brief State of all upstreams, sharded by id.
+#include "wasabispar/upstream/upstream_table.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace wasabispar {
+
+namespace {
+
+/// Weight of a new sample in the moving average of the latency. 1/8 follows a change
+/// within some ten exchanges and damps single stragglers.
+constexpr int kMeanWeight = 8;
+
+} // namespace
+
+struct UpstreamTable::Entry
+{
+  explicit Entry(const UpstreamTableOptions& aOptions)
+    : mSlots(aOptions.mSlots)
+    , mLatency(aOptions.mObservationWindow)
+  {
+  }
+
+  UpstreamDeclaration mDeclaration;
+  /// Set while leaving: time of the last sign.
+  std::optional<TimePoint> mLeavingSince;
+  std::optional<TimePoint> mSuspectSince;
+  /// The upstream could not be connected to since it became suspect, so it has probably
+  /// been restarted.
+  bool mRestarted = false;
+  std::uint64_t mLeavingFact = 0;
+  /// When the newest report was requested.
+  std::optional<TimePoint> mReportRequested;
+  std::shared_ptr<const std::vector<DeclaredVersion>> mVersions =
+    std::make_shared<const std::vector<DeclaredVersion>>();
+  std::uint32_t mInFlight = 0;
+  SlotLimiter mSlots;
+  LatencyEstimator mLatency;
+  Duration mMeanLatency{};
+  TimePoint mWarmSince;
+  bool mIsolated = false;
+  std::optional<TimePoint> mLastReply;
+  std::optional<TimePoint> mLastExchange;
+  Permille mLoadHint;
+  bool mHealthHint = true;
+};
+
+struct UpstreamTable::Shard
+{
+  /// Guards mEntries and mGroups.
+  mutable std::mutex mMutex;
+  std::unordered_map<UpstreamId, Entry> mEntries;
+  /// Latencies of the upstreams of this shard, by index.
+  std::map<IndexName, LatencyEstimator> mGroups;
+};
+
+UpstreamTable::UpstreamTable(UpstreamTableOptions aOptions)
+  : mOptions(aOptions)
+{
+  for (auto& shard : mShards) {
+    shard = std::make_unique<Shard>();
+  }
+}
+
+UpstreamTable::~UpstreamTable() = default;
+
+UpstreamTable::Shard&
+UpstreamTable::ShardOf(const UpstreamId& aUpstream) const
+{
+  return *mShards[std::hash<UpstreamId>{}(aUpstream) % kShards];
+}
+
+/// Calls @p aFn with the entry under its lock; returns a default value when there is
+/// none.
+template<class Fn>
+auto
+UpstreamTable::With(const UpstreamId& aUpstream, Fn&& aFn) const
+{
+  using Value = decltype(aFn(std::declval<Shard&>(), std::declval<Entry&>()));
+  auto& shard = ShardOf(aUpstream);
+  const std::lock_guard lock(shard.mMutex);
+  const auto found = shard.mEntries.find(aUpstream);
+  if (found == shard.mEntries.end()) {
+    return Value();
+  }
+  return aFn(shard, found->second);
+}
+
+bool
+UpstreamTable::OnDeclared(const UpstreamDeclaration& aDeclaration, TimePoint aNow)
+{
+  auto& shard = ShardOf(aDeclaration.mUpstream);
+  const std::lock_guard lock(shard.mMutex);
+  const auto [found, added] =
+    shard.mEntries.try_emplace(aDeclaration.mUpstream, mOptions);
+  auto& entry = found->second;
+  entry.mDeclaration = aDeclaration;
+  if (added) {
+    entry.mWarmSince = aNow;
+    Changed();
+  }
+  return aDeclaration.mLeaving && MarkLeaving(entry, aNow);
+}
+
+void
+UpstreamTable::OnRemoved(const UpstreamId& aUpstream)
+{
+  auto& shard = ShardOf(aUpstream);
+  const std::lock_guard lock(shard.mMutex);
+  if (shard.mEntries.erase(aUpstream) > 0) {
+    Changed();
+  }
+}
+
+bool
+UpstreamTable::OnReport(const UpstreamId& aUpstream, const UpstreamReport& aReport,
+                        TimePoint aRequested, TimePoint aNow)
+{
+  return With(aUpstream, [&](Shard&, Entry& aEntry) {
+    if (aReport.mDraining) {
+      return MarkLeaving(aEntry, aNow);
+    }
+    if (aEntry.mReportRequested && aRequested < *aEntry.mReportRequested) {
+      return false;
+    }
+    aEntry.mReportRequested = aRequested;
+    aEntry.mLastReply = aNow;
+    aEntry.mVersions =
+      std::make_shared<const std::vector<DeclaredVersion>>(aReport.mVersions);
+    aEntry.mSlots.OnDeclaredSlots(aReport.mSlots);
+    if (aEntry.mLeavingSince && aRequested > *aEntry.mLeavingSince &&
+        !aEntry.mDeclaration.mLeaving) {
+      aEntry.mLeavingSince.reset();
+      aEntry.mWarmSince = aNow;
+    }
+    ClearSuspect(aEntry, aRequested, aNow);
+    Changed();
+    return false;
+  });
+}
+
+bool
+UpstreamTable::OnLeavingFact(const UpstreamId& aUpstream, std::uint64_t aFactVersion,
+                             TimePoint aNow)
+{
+  return With(aUpstream, [&](Shard&, Entry& aEntry) {
+    if (aFactVersion <= aEntry.mLeavingFact) {
+      return false;
+    }
+    aEntry.mLeavingFact = aFactVersion;
+    return MarkLeaving(aEntry, aNow);
+  });
+}
+
+void
+UpstreamTable::OnExchangeStarted(const UpstreamId& aUpstream, TimePoint /*aNow*/)
+{
+  With(aUpstream, [](Shard&, Entry& aEntry) {
+    ++aEntry.mInFlight;
+    return true;
+  });
+}
+
+bool
+UpstreamTable::OnExchangeEnded(const UpstreamId& aUpstream, const ExchangeEnd& aEnd,
+                               TimePoint aNow)
+{
+  return With(aUpstream, [&](Shard& aShard, Entry& aEntry) {
+    const auto inFlight = aEntry.mInFlight;
+    aEntry.mInFlight -= std::min(aEntry.mInFlight, 1U);
+    aEntry.mLastExchange = aNow;
+    if (IsReply(aEnd.mStatus)) {
+      aEntry.mLastReply = aNow;
+    }
+    switch (aEnd.mStatus) {
+      case ExchangeStatus::Ok:
+        aEntry.mSlots.OnSuccess(aEnd.mLatency, inFlight);
+        [[fallthrough]];
+      case ExchangeStatus::Cancelled: {
+        aEntry.mLatency.Record(aEnd.mLatency, aNow);
+        aShard.mGroups
+          .try_emplace(aEntry.mDeclaration.mIndex, mOptions.mObservationWindow)
+          .first->second.Record(aEnd.mLatency, aNow);
+        const auto& mean = aEntry.mMeanLatency;
+        aEntry.mMeanLatency = mean == Duration::zero()
+                                ? aEnd.mLatency
+                                : mean + (aEnd.mLatency - mean) / kMeanWeight;
+        break;
+      }
+      case ExchangeStatus::Shed:
+        aEntry.mSlots.OnShed(aNow - aEnd.mLatency, aNow);
+        break;
+      case ExchangeStatus::VersionGone:
+      case ExchangeStatus::ShardGone:
+        RemoveHolding(aEntry, aEnd);
+        break;
+      case ExchangeStatus::ConnectFailed:
+        MarkSuspect(aEntry, true, aNow);
+        break;
+      case ExchangeStatus::ConnectionLost:
+        MarkSuspect(aEntry, false, aNow);
+        break;
+      default:
+        break;
+    }
+    const bool draining =
+      aEnd.mDrainingHeader || aEnd.mStatus == ExchangeStatus::Draining;
+    return draining && MarkLeaving(aEntry, aNow);
+  });
+}
+
+void
+UpstreamTable::OnSuspected(const UpstreamId& aUpstream, TimePoint aNow)
+{
+  With(aUpstream, [&](Shard&, Entry& aEntry) {
+    MarkSuspect(aEntry, false, aNow);
+    return true;
+  });
+}
+
+void
+UpstreamTable::OnProbeAnswered(const UpstreamId& aUpstream, TimePoint aStarted,
+                               TimePoint aNow)
+{
+  With(aUpstream, [&](Shard&, Entry& aEntry) {
+    aEntry.mLastReply = aNow;
+    ClearSuspect(aEntry, aStarted, aNow);
+    return true;
+  });
+}
+
+void
+UpstreamTable::OnHints(const UpstreamId& aUpstream, bool aHealthy, Permille aLoad)
+{
+  With(aUpstream, [&](Shard&, Entry& aEntry) {
+    aEntry.mHealthHint = aHealthy;
+    aEntry.mLoadHint = aLoad;
+    return true;
+  });
+}
+
+bool
+UpstreamTable::TryIsolate(const UpstreamId& aUpstream)
+{
+  return With(aUpstream, [&](Shard&, Entry& aEntry) {
+    if (aEntry.mIsolated || aEntry.mInFlight > 0) {
+      return false;
+    }
+    aEntry.mIsolated = true;
+    return true;
+  });
+}
+
+void
+UpstreamTable::EndIsolation(const UpstreamId& aUpstream)
+{
+  With(aUpstream, [&](Shard&, Entry& aEntry) {
+    aEntry.mIsolated = false;
+    return true;
+  });
+}
+
+bool
+UpstreamTable::MarkLeaving(Entry& aEntry, TimePoint aNow)
+{
+  const bool first = !aEntry.mLeavingSince;
+  aEntry.mLeavingSince = aNow;
+  if (first) {
+    Changed();
+  }
+  return first;
+}
+
+void
+UpstreamTable::MarkSuspect(Entry& aEntry, bool aRestarted, TimePoint aNow)
+{
+  if (!aEntry.mSuspectSince) {
+    Changed();
+  }
+  aEntry.mSuspectSince = aNow;
+  aEntry.mRestarted = aEntry.mRestarted || aRestarted;
+}
+
+void
+UpstreamTable::ClearSuspect(Entry& aEntry, TimePoint aStarted, TimePoint aNow)
+{
+  // A probe that started before the last failure proves nothing.
+  if (!aEntry.mSuspectSince || aStarted < *aEntry.mSuspectSince) {
+    return;
+  }
+  aEntry.mSuspectSince.reset();
+  if (std::exchange(aEntry.mRestarted, false)) {
+    aEntry.mWarmSince = aNow;
+  }
+  Changed();
+}
+
+/// Takes away what the upstream says it no longer holds, until its next report.
+void
+UpstreamTable::RemoveHolding(Entry& aEntry, const ExchangeEnd& aEnd)
+{
+  // A report that was requested after the exchange started is newer than its reply, but
+  // a wrong removal only lasts until the next report.
+  auto versions = *aEntry.mVersions;
+  if (aEnd.mStatus == ExchangeStatus::VersionGone) {
+    std::erase_if(versions, [&](const DeclaredVersion& aVersion) {
+      return aVersion.mVersion == aEnd.mVersion;
+    });
+  }
+  for (auto& version : versions) {
+    if (version.mVersion == aEnd.mVersion) {
+      std::erase(version.mHeld, aEnd.mShard);
+    }
+  }
+  aEntry.mVersions =
+    std::make_shared<const std::vector<DeclaredVersion>>(std::move(versions));
+  Changed();
+}
+
+UpstreamView
+UpstreamTable::ViewOf(const Entry& aEntry, TimePoint aNow) const
+{
+  UpstreamView view;
+  view.mDeclaration = aEntry.mDeclaration;
+  view.mLeaving = aEntry.mLeavingSince.has_value();
+  view.mSuspect = aEntry.mSuspectSince.has_value();
+  view.mVersions = aEntry.mVersions;
+  view.mInFlight = aEntry.mInFlight;
+  const auto warm = aNow - aEntry.mWarmSince;
+  if (warm < mOptions.mSlowStart) {
+    const double from = mOptions.mSlowStartShare.Fraction();
+    const double done = static_cast<double>(std::max(warm, Duration::zero()).count()) /
+                        static_cast<double>(mOptions.mSlowStart.count());
+    view.mWarmth =
+      Permille(static_cast<std::uint32_t>(1000 * (from + (1 - from) * done)));
+  }
+  const double limit = aEntry.mSlots.Limit() * view.mWarmth.Fraction();
+  view.mSlotLimit = std::max(1U, static_cast<std::uint32_t>(limit));
+  view.mMeanLatency = aEntry.mMeanLatency;
+  view.mIsolated = aEntry.mIsolated;
+  view.mLastReply = aEntry.mLastReply;
+  view.mLoadHint = aEntry.mLoadHint;
+  view.mHealthHint = aEntry.mHealthHint;
+  view.mObserved =
+    aEntry.mLastExchange && aNow - *aEntry.mLastExchange < mOptions.mObservationWindow;
+  return view;
+}
+
+std::optional<UpstreamView>
+UpstreamTable::Find(const UpstreamId& aUpstream, TimePoint aNow) const
+{
+  return With(aUpstream, [&](Shard&, Entry& aEntry) {
+    return std::optional<UpstreamView>(ViewOf(aEntry, aNow));
+  });
+}
+
+std::vector<UpstreamView>
+UpstreamTable::All(TimePoint aNow) const
+{
+  std::vector<UpstreamView> views;
+  for (const auto& shard : mShards) {
+    const std::lock_guard lock(shard->mMutex);
+    for (const auto& [id, entry] : shard->mEntries) {
+      views.push_back(ViewOf(entry, aNow));
+    }
+  }
+  std::ranges::sort(views, {}, [](const UpstreamView& aView) -> const UpstreamId& {
+    return aView.mDeclaration.mUpstream;
+  });
+  return views;
+}
+
+std::vector<UpstreamView>
+UpstreamTable::OfIndex(const IndexName& aIndex, TimePoint aNow) const
+{
+  auto views = All(aNow);
+  std::erase_if(views, [&](const UpstreamView& aView) {
+    return aView.mDeclaration.mIndex != aIndex;
+  });
+  return views;
+}
+
+std::optional<Duration>
+UpstreamTable::GroupLatency(const IndexName& aIndex, Permille aQuantile,
+                            TimePoint aNow) const
+{
+  LatencyEstimator merged(mOptions.mObservationWindow);
+  for (const auto& shard : mShards) {
+    const std::lock_guard lock(shard->mMutex);
+    const auto found = shard->mGroups.find(aIndex);
+    if (found != shard->mGroups.end()) {
+      merged.Merge(found->second, aNow);
+    }
+  }
+  return merged.Quantile(aQuantile, aNow);
+}
+
+std::optional<Duration>
+UpstreamTable::Latency(const UpstreamId& aUpstream, Permille aQuantile,
+                       TimePoint aNow) const
+{
+  return With(aUpstream, [&](Shard&, Entry& aEntry) {
+    return aEntry.mLatency.Quantile(aQuantile, aNow);
+  });
+}
+
+std::uint64_t
+UpstreamTable::Generation() const
+{
+  return mGeneration.load(std::memory_order_acquire);
+}
+
+} // namespace wasabispar
