--- a/include/wasabispar/app/crash_fact_codec.hpp
+++ b/include/wasabispar/app/crash_fact_codec.hpp
@@ -14,13 +14,16 @@
 inline constexpr std::string_view kLeavingFactPrefix = "upstream-leaving/";
 
 /// @brief The key `crash/<fingerprint in hexadecimal>`.
-std::string CrashFactKey(const CrashFact& aFact);
+std::string
+CrashFactKey(const CrashFact& aFact);
 
 /// @brief The value as JSON. Upstreams and shards beyond 16 are left out, so that the
 /// value stays within the size limit of a fact.
-std::string EncodeCrashFact(const CrashFact& aFact);
+std::string
+EncodeCrashFact(const CrashFact& aFact);
 
 /// @brief Parses a fact with the prefix `crash/`; empty when it is malformed.
-std::optional<CrashFact> DecodeCrashFact(const Fact& aFact);
+std::optional<CrashFact>
+DecodeCrashFact(const Fact& aFact);
 
 } // namespace wasabispar
--- a/include/wasabispar/app/upstream_service.hpp
+++ b/include/wasabispar/app/upstream_service.hpp
@@ -5,6 +5,7 @@
 
 #include "wasabispar/app/app_context.hpp"
 #include "wasabispar/base/hash.hpp"
+#include "wasabispar/fleet/fact.hpp"
 #include "wasabispar/fleet/ownership.hpp"
 #include "wasabispar/net/connection_pool.hpp"
 #include "wasabispar/net/platform_client.hpp"
@@ -41,13 +42,12 @@
   /// Publishes a fact to the data centre.
   std::function<void(std::string aKey, std::string aValue, Duration aTtl)> mPublish;
   /// Runs an exchange through @p aOwner.
-  std::function<void(const VmId& aOwner,
-                     const SubSearch&,
+  std::function<void(const VmId& aOwner, const SubSearch&,
                      std::function<void(HttpExchangeResult)>)>
     mForward;
   /// Asks @p aOwner for its newest state report of an upstream.
-  std::function<
-    void(const VmId& aOwner, const UpstreamId&, std::function<void(std::string aBody)>)>
+  std::function<void(const VmId& aOwner, const UpstreamId&,
+                     std::function<void(std::string aBody)>)>
     mForwardState;
 };
 
@@ -79,8 +79,7 @@
   /// called once on the worker of the upstream.
   void Search(std::uint64_t aHandle, SubSearch aSearch, ReplyFn aDone);
   /// @brief Runs a search that another VM forwarded; never forwards it again.
-  void SearchForPeer(std::uint64_t aHandle,
-                     SubSearch aSearch,
+  void SearchForPeer(std::uint64_t aHandle, SubSearch aSearch,
                      std::function<void(HttpExchangeResult)> aDone);
   /// @brief Gives up a search.
   void Cancel(std::uint64_t aHandle, const UpstreamId& aUpstream);
@@ -91,10 +90,8 @@
                                              const std::vector<UpstreamId>& aTried);
   /// @brief Sends a non-idempotent request. @p aMayStillSend is called right before the
   /// first byte.
-  void Execute(const UpstreamId& aUpstream,
-               const ExecuteRequest& aRequest,
-               RequestFingerprint aFingerprint,
-               TimePoint aDeadline,
+  void Execute(const UpstreamId& aUpstream, const ExecuteRequest& aRequest,
+               RequestFingerprint aFingerprint, TimePoint aDeadline,
                std::function<bool(TimePoint)> aMayStillSend,
                std::function<void(HttpExchangeResult, bool aMayHaveLeft)> aDone);
 
@@ -143,23 +140,17 @@
   void AddPool(const PlatformUpstream& aUpstream);
   void RemovePool(const UpstreamId& aUpstream);
   ConnectionPoolHooks PoolHooks(const UpstreamId& aUpstream);
-  void Submit(Lane& aLane,
-              std::uint64_t aHandle,
-              const SubSearch& aSearch,
+  void Submit(Lane& aLane, std::uint64_t aHandle, const SubSearch& aSearch,
               std::function<void(HttpExchangeResult)> aDone);
-  void OnSearchEnd(Lane& aLane,
-                   std::uint64_t aHandle,
-                   const SubSearch& aSearch,
-                   TimePoint aStarted,
-                   const HttpExchangeResult& aResult);
+  void OnSearchEnd(Lane& aLane, std::uint64_t aHandle, const SubSearch& aSearch,
+                   TimePoint aStarted, const HttpExchangeResult& aResult);
   bool MayStart(std::uint64_t aHandle, const SubSearch& aSearch, TimePoint aNow);
   void OnStarted(Lane& aLane, std::uint64_t aHandle, const UpstreamId& aUpstream,
                  bool aIdempotent, std::uint64_t aConnection);
   void PollStates(Lane& aLane);
   void PollDirect(Lane& aLane, const UpstreamId& aUpstream);
   void PollForwarded(const UpstreamId& aUpstream, const VmId& aOwner);
-  void OnReportBody(const UpstreamId& aUpstream,
-                    const std::string& aBody,
+  void OnReportBody(const UpstreamId& aUpstream, const std::string& aBody,
                     TimePoint aRequested);
   void RunWatchActions(Lane& aLane, const std::vector<WatchAction>& aActions);
   void Probe(Lane& aLane, const UpstreamId& aUpstream);
--- a/include/wasabispar/catalogue/config_messages.hpp
+++ b/include/wasabispar/catalogue/config_messages.hpp
@@ -27,6 +27,8 @@
   /// Age of the last confirmed contact of the sender's data centre with the platform,
   /// at the time of sending; empty when there was none.
   std::optional<Duration> mPlatformAge;
+
+  bool operator==(const CatalogueDigestMessage&) const = default;
 };
 
 /// @brief Asks for what changed after mSince.
@@ -34,6 +36,8 @@
 {
   std::uint64_t mNonce = 0;
   Revision mSince;
+
+  bool operator==(const CataloguePullMessage&) const = default;
 };
 
 /// @brief Answer to a pull, or a push.
@@ -44,6 +48,8 @@
   CatalogueDelta mDelta;
   /// As in CatalogueDigestMessage.
   std::optional<Duration> mPlatformAge;
+
+  bool operator==(const CatalogueDeltaMessage&) const = default;
 };
 
 using ConfigMessage =
--- a/include/wasabispar/net/connection_pool.hpp
+++ b/include/wasabispar/net/connection_pool.hpp
@@ -81,10 +81,8 @@
   /// Identifies a submitted request; never used twice in a process.
   using Handle = std::uint64_t;
 
-  ConnectionPool(boost::asio::io_context& aContext,
-                 Endpoint aEndpoint,
-                 ConnectionPoolOptions aOptions,
-                 ConnectionPoolHooks aHooks);
+  ConnectionPool(boost::asio::io_context& aContext, Endpoint aEndpoint,
+                 ConnectionPoolOptions aOptions, ConnectionPoolHooks aHooks);
   ~ConnectionPool();
 
   /// @brief Runs or queues @p aRequest under @p aHandle.
--- a/include/wasabispar/net/fleet_messages.hpp
+++ b/include/wasabispar/net/fleet_messages.hpp
@@ -1,12 +1,14 @@
 /// @file
-/// @brief Messages between VMs as plain values. `Message` in the names keeps them apart
-/// from the types of the layers that the app converts them to.
+/// @brief Messages between VMs as plain values.
 #pragma once
 
 #include "wasabispar/base/error.hpp"
 #include "wasabispar/base/ids.hpp"
+#include "wasabispar/catalogue/config_messages.hpp"
+#include "wasabispar/execution/end_condition.hpp"
 #include "wasabispar/fleet/fact_store.hpp"
 #include "wasabispar/fleet/swim_messages.hpp"
+#include "wasabispar/net/http_client.hpp"
 
 #include <cstdint>
 #include <string>
@@ -15,45 +17,25 @@
 
 namespace wasabispar {
 
-/// @brief Changed catalogue items between two revisions.
-struct CatalogueDeltaMessage
+/// @brief Asks a VM that reads the platform's list for the newest one.
+struct InventoryPullMessage
 {
-  struct Item
-  {
-    ProfileName mName;
-    Revision mRevision;
-    bool mIsDeleted = false;
-    /// The profile document as JSON; empty for a deleted one.
-    std::string mDocument;
-
-    bool operator==(const Item&) const = default;
-  };
-
-  Revision mFrom;
-  Revision mTo;
-  std::vector<Item> mItems;
-  /// Age of the last contact with the platform that the sender knows of, milliseconds.
-  std::uint64_t mPlatformAgeMs = 0;
-
-  bool operator==(const CatalogueDeltaMessage&) const = default;
-};
+  /// Hash of the list that the sender holds; 0 for none.
+  std::uint64_t mKnownHash = 0;
 
-/// @brief What catalogue the sender holds.
-struct CatalogueDigestMessage
-{
-  Revision mRevision;
-  std::uint64_t mDigest = 0;
-  std::uint64_t mPlatformAgeMs = 0;
-
-  bool operator==(const CatalogueDigestMessage&) const = default;
+  bool operator==(const InventoryPullMessage&) const = default;
 };
 
-/// @brief Asks for all items after a revision.
-struct CataloguePullMessage
+/// @brief The platform's list as its JSON body.
+struct InventoryReplyMessage
 {
-  Revision mSince;
+  std::uint64_t mHash = 0;
+  /// Time since the platform returned it, milliseconds.
+  std::uint32_t mAgeMs = 0;
+  /// Empty when the receiver already holds the list with this hash.
+  std::string mBody;
 
-  bool operator==(const CataloguePullMessage&) const = default;
+  bool operator==(const InventoryReplyMessage&) const = default;
 };
 
 /// @brief Sub-requests that an owner of connections runs for the sender.
@@ -73,6 +55,13 @@
     std::string mQuery;
     /// Remaining time at the sender, milliseconds.
     std::uint32_t mDeadlineMs = 0;
+    /// The id that the upstream repeats in its reply.
+    std::string mRequestId;
+    /// Asks for the newest state report of the upstream instead of a search.
+    bool mWantsState = false;
+    RequestFingerprint mFingerprint;
+    /// The request is suspected of crashing upstreams and runs alone.
+    bool mIsIsolated = false;
 
     bool operator==(const Sub&) const = default;
   };
@@ -88,10 +77,9 @@
   struct Sub
   {
     std::uint64_t mSubId = 0;
-    /// HTTP status of the upstream; 0 when it did not answer.
+    HttpExchangeEnd mEnd = HttpExchangeEnd::ConnectFailed;
+    /// HTTP status of the upstream for Response.
     std::uint32_t mStatus = 0;
-    SnapshotVersion mVersion;
-    ShardId mShard;
     std::string mBody;
     /// Why there is no answer; empty otherwise.
     std::string mCause;
@@ -129,14 +117,10 @@
 /// @brief The end of a forwarded execution.
 struct ForwardExecutionReplyMessage
 {
-  Outcome mOutcome = Outcome::OutcomeUnknown;
-  /// HTTP status for the caller.
-  std::uint32_t mStatus = 0;
-  std::string mBody;
-  /// Name of the step as ToText(Step) writes it; empty without an error.
-  std::string mErrorStep;
-  std::string mErrorPeer;
-  std::string mErrorCause;
+  /// False when the receiver does not hold the ticket's incarnation; the answer then
+  /// says nothing.
+  bool mIsKnown = false;
+  ExecutionAnswer mAnswer;
 
   bool operator==(const ForwardExecutionReplyMessage&) const = default;
 };
@@ -145,7 +129,8 @@
   std::variant<PingMessage, AckMessage, PingRequestMessage, FactPushMessage,
                CatalogueDeltaMessage, CatalogueDigestMessage, CataloguePullMessage,
                ForwardSearchMessage, ForwardSearchReplyMessage, ForwardCancelMessage,
-               ForwardExecutionMessage, ForwardExecutionReplyMessage>;
+               ForwardExecutionMessage, ForwardExecutionReplyMessage,
+               InventoryPullMessage, InventoryReplyMessage>;
 
 /// @brief A message with its sender.
 struct FleetEnvelope
--- a/include/wasabispar/net/upstream_codec.hpp
+++ b/include/wasabispar/net/upstream_codec.hpp
@@ -57,24 +57,29 @@
 };
 
 /// @brief `POST /search`.
-HttpRequest EncodeSearch(const SearchRequest& aRequest);
+HttpRequest
+EncodeSearch(const SearchRequest& aRequest);
 
 /// @brief Maps the end of a `POST /search` exchange. A reply that names another request,
 /// or that is malformed, has the status ConnectionLost.
-SearchReply DecodeSearch(const HttpExchangeResult& aResult, std::string_view aRequestId);
+SearchReply
+DecodeSearch(const HttpExchangeResult& aResult, std::string_view aRequestId);
 
 /// @brief `POST /execute`.
-HttpRequest EncodeExecute(const ExecuteRequest& aRequest);
+HttpRequest
+EncodeExecute(const ExecuteRequest& aRequest);
 
 /// @brief `POST /cancel` for the request @p aRequestId.
-HttpRequest EncodeCancel(std::string_view aRequestId);
+HttpRequest
+EncodeCancel(std::string_view aRequestId);
 
 /// @brief Parses the body of `GET /state`.
-Result<UpstreamReport> ParseUpstreamReport(std::string_view aBody,
-                                           const std::string& aPeer);
+Result<UpstreamReport>
+ParseUpstreamReport(std::string_view aBody, const std::string& aPeer);
 
 /// @brief The status of an exchange that ended as @p aEnd, with HTTP status
 /// @p aHttpStatus for Response.
-ExchangeStatus StatusOfExchange(HttpExchangeEnd aEnd, unsigned aHttpStatus);
+ExchangeStatus
+StatusOfExchange(HttpExchangeEnd aEnd, unsigned aHttpStatus);
 
 } // namespace wasabispar
--- a/src/wasabispar/app/upstream_service.cpp
+++ b/src/wasabispar/app/upstream_service.cpp
@@ -91,13 +91,11 @@
   : mContext(aContext)
   , mHooks(std::move(aHooks))
   , mDirectory(mTable)
-  , mBudget(aContext.mSettings.mVm,
-            BudgetOptions(aContext.mSettings),
-            aContext.mNow())
+  , mBudget(aContext.mSettings.mVm, BudgetOptions(aContext.mSettings), aContext.mNow())
 {
   for (std::size_t i = 0; i < aContext.mWorkers.Count(); ++i) {
-    mLanes.push_back(std::make_unique<Lane>(
-      aContext.mWorkers.At(i), i, WatchOptions(aContext.mSettings)));
+    mLanes.push_back(std::make_unique<Lane>(aContext.mWorkers.At(i), i,
+                                            WatchOptions(aContext.mSettings)));
   }
 }
 
@@ -107,14 +105,13 @@
 UpstreamService::Start()
 {
   for (auto& lane : mLanes) {
-    lane->mService =
-      lane->mWorker.Timers().Every(kServicePeriod, [this, &lane = *lane] {
-        for (const auto& [upstream, pool] : std::map(lane.mPools)) {
-          pool->Tick();
-        }
-        RunWatchActions(lane, lane.mWatch.OnTimer(mContext.mNow()));
-        PollStates(lane);
-      });
+    lane->mService = lane->mWorker.Timers().Every(kServicePeriod, [this, &lane = *lane] {
+      for (const auto& [upstream, pool] : std::map(lane.mPools)) {
+        pool->Tick();
+      }
+      RunWatchActions(lane, lane.mWatch.OnTimer(mContext.mNow()));
+      PollStates(lane);
+    });
   }
 }
 
@@ -182,11 +179,8 @@
   }
   for (const auto& [id, upstream] : own) {
     mBudget.SetLimit(id, upstream.mConnectionLimit);
-    if (mTable.OnDeclared({ id,
-                            upstream.mIndex,
-                            upstream.mDataCentre,
-                            upstream.mAddress.Text(),
-                            upstream.mLeaving,
+    if (mTable.OnDeclared({ id, upstream.mIndex, upstream.mDataCentre,
+                            upstream.mAddress.Text(), upstream.mLeaving,
                             upstream.mConnectionLimit },
                           now)) {
       PublishLeaving(id);
@@ -237,10 +231,8 @@
     ConnectionPoolOptions options;
     options.mWarm = static_cast<std::size_t>(mContext.mSettings.mWarmConnections);
     aLane.mPools[aUpstream.mUpstream] =
-      std::make_shared<ConnectionPool>(aLane.mWorker.Context(),
-                                       aUpstream.mAddress,
-                                       options,
-                                       PoolHooks(aUpstream.mUpstream));
+      std::make_shared<ConnectionPool>(aLane.mWorker.Context(), aUpstream.mAddress,
+                                       options, PoolHooks(aUpstream.mUpstream));
     aLane.mNextPoll[aUpstream.mUpstream] = mContext.mNow();
   });
 }
@@ -284,8 +276,7 @@
 }
 
 void
-UpstreamService::SearchForPeer(std::uint64_t aHandle,
-                               SubSearch aSearch,
+UpstreamService::SearchForPeer(std::uint64_t aHandle, SubSearch aSearch,
                                std::function<void(HttpExchangeResult)> aDone)
 {
   const auto upstream = aSearch.mUpstream;
@@ -300,15 +291,13 @@
   if (aNow >= aSearch.mDeadline) {
     return false;
   }
-  const auto verdict = mCrashes.TryStart(
-    aHandle, aSearch.mUpstream, aSearch.mFingerprint, aSearch.mRequest.mShard, aNow);
+  const auto verdict = mCrashes.TryStart(aHandle, aSearch.mUpstream, aSearch.mFingerprint,
+                                         aSearch.mRequest.mShard, aNow);
   return verdict == CrashVerdict::Normal || verdict == CrashVerdict::RunAlone;
 }
 
 void
-UpstreamService::Submit(Lane& aLane,
-                        std::uint64_t aHandle,
-                        const SubSearch& aSearch,
+UpstreamService::Submit(Lane& aLane, std::uint64_t aHandle, const SubSearch& aSearch,
                         std::function<void(HttpExchangeResult)> aDone)
 {
   const auto pool = aLane.Pool(aSearch.mUpstream);
@@ -330,13 +319,13 @@
   request.mMayStillSend = [this, aHandle, aSearch](TimePoint aNow) {
     return MayStart(aHandle, aSearch, aNow);
   };
-  request.mOnStarted = [this, &aLane, aHandle, aSearch, started](
-                         std::uint64_t aConnection) {
+  request.mOnStarted = [this, &aLane, aHandle, aSearch,
+                        started](std::uint64_t aConnection) {
     *started = mContext.mNow();
     OnStarted(aLane, aHandle, aSearch.mUpstream, true, aConnection);
   };
-  request.mDone = [this, &aLane, aHandle, aSearch, started, done = std::move(aDone)](
-                    HttpExchangeResult aResult, bool) {
+  request.mDone = [this, &aLane, aHandle, aSearch, started,
+                   done = std::move(aDone)](HttpExchangeResult aResult, bool) {
     if (*started) {
       OnSearchEnd(aLane, aHandle, aSearch, **started, aResult);
     }
@@ -349,10 +338,8 @@
 }
 
 void
-UpstreamService::OnStarted(Lane& aLane,
-                           std::uint64_t aHandle,
-                           const UpstreamId& aUpstream,
-                           bool aIdempotent,
+UpstreamService::OnStarted(Lane& aLane, std::uint64_t aHandle,
+                           const UpstreamId& aUpstream, bool aIdempotent,
                            std::uint64_t aConnection)
 {
   const auto now = mContext.mNow();
@@ -362,11 +349,8 @@
 }
 
 void
-UpstreamService::OnSearchEnd(Lane& aLane,
-                             std::uint64_t aHandle,
-                             const SubSearch& aSearch,
-                             TimePoint aStarted,
-                             const HttpExchangeResult& aResult)
+UpstreamService::OnSearchEnd(Lane& aLane, std::uint64_t aHandle, const SubSearch& aSearch,
+                             TimePoint aStarted, const HttpExchangeResult& aResult)
 {
   const auto now = mContext.mNow();
   ExchangeEnd end;
@@ -377,7 +361,7 @@
   end.mDrainingHeader = aResult.mResponse.Header("Upstream-Draining") == "1";
   aLane.mWatch.OnEnded(aHandle);
   aLane.mWatched.erase(aHandle);
-  mCrashes.OnEnded(aHandle, end.mStatus, now);
+  PublishCrash(mCrashes.OnEnded(aHandle, end.mStatus, now));
   if (mTable.OnExchangeEnded(aSearch.mUpstream, end, now)) {
     PublishLeaving(aSearch.mUpstream);
   }
@@ -420,10 +404,8 @@
 }
 
 void
-UpstreamService::Execute(const UpstreamId& aUpstream,
-                         const ExecuteRequest& aRequest,
-                         RequestFingerprint aFingerprint,
-                         TimePoint aDeadline,
+UpstreamService::Execute(const UpstreamId& aUpstream, const ExecuteRequest& aRequest,
+                         RequestFingerprint aFingerprint, TimePoint aDeadline,
                          std::function<bool(TimePoint)> aMayStillSend,
                          std::function<void(HttpExchangeResult, bool)> aDone)
 {
@@ -436,14 +418,14 @@
   request.mCaller = aRequest.mCaller;
   request.mDeadline = aDeadline;
   request.mRequest = EncodeExecute(aRequest);
-  request.mMayStillSend = [this, handle, search, may = std::move(aMayStillSend)](
-                            TimePoint aNow) {
+  request.mMayStillSend = [this, handle, search,
+                           may = std::move(aMayStillSend)](TimePoint aNow) {
     return MayStart(handle, search, aNow) && may(aNow);
   };
   auto started = std::make_shared<std::optional<TimePoint>>();
   auto& lane = LaneOf(aUpstream);
-  request.mOnStarted = [this, &lane, handle, aUpstream, started](
-                         std::uint64_t aConnection) {
+  request.mOnStarted = [this, &lane, handle, aUpstream,
+                        started](std::uint64_t aConnection) {
     *started = mContext.mNow();
     OnStarted(lane, handle, aUpstream, false, aConnection);
   };
@@ -454,16 +436,15 @@
     }
     done(std::move(aResult), aMayHaveLeft);
   };
-  PostTo(aUpstream,
-         [handle, aUpstream, pooled = std::move(request)](Lane& aLane) mutable {
-           if (const auto pool = aLane.Pool(aUpstream)) {
-             pool->Submit(handle, std::move(pooled));
-             return;
-           }
-           pooled.mDone(
-             { HttpExchangeEnd::ConnectFailed, {}, "upstream is no longer listed" },
-             false);
-         });
+  PostTo(
+    aUpstream, [handle, aUpstream, pooled = std::move(request)](Lane& aLane) mutable {
+      if (const auto pool = aLane.Pool(aUpstream)) {
+        pool->Submit(handle, std::move(pooled));
+        return;
+      }
+      pooled.mDone({ HttpExchangeEnd::ConnectFailed, {}, "upstream is no longer listed" },
+                   false);
+    });
 }
 
 void
@@ -503,8 +484,8 @@
   request.mRequest = StateRequest();
   request.mDeadline = now + kStateTimeout;
   auto started = std::make_shared<std::optional<TimePoint>>();
-  request.mOnStarted = [this, &aLane, handle, aUpstream, started](
-                         std::uint64_t aConnection) {
+  request.mOnStarted = [this, &aLane, handle, aUpstream,
+                        started](std::uint64_t aConnection) {
     *started = mContext.mNow();
     aLane.mWatch.OnStarted({ handle, aConnection, aUpstream, true }, **started);
     aLane.mWatched.emplace(handle, aUpstream);
@@ -536,18 +517,17 @@
 UpstreamService::PollForwarded(const UpstreamId& aUpstream, const VmId& aOwner)
 {
   const auto requested = mContext.mNow();
-  mHooks.mForwardState(
-    aOwner, aUpstream, [this, aUpstream, requested](const std::string& aBody) {
-      if (!aBody.empty()) {
-        OnReportBody(aUpstream, aBody, requested);
-        mTable.OnProbeAnswered(aUpstream, requested, mContext.mNow());
-      }
-    });
+  mHooks.mForwardState(aOwner, aUpstream,
+                       [this, aUpstream, requested](const std::string& aBody) {
+                         if (!aBody.empty()) {
+                           OnReportBody(aUpstream, aBody, requested);
+                           mTable.OnProbeAnswered(aUpstream, requested, mContext.mNow());
+                         }
+                       });
 }
 
 void
-UpstreamService::OnReportBody(const UpstreamId& aUpstream,
-                              const std::string& aBody,
+UpstreamService::OnReportBody(const UpstreamId& aUpstream, const std::string& aBody,
                               TimePoint aRequested)
 {
   const auto report = HandleError(
@@ -556,8 +536,7 @@
       return std::optional<UpstreamReport>(std::move(parsed));
     },
     [&](const Error& aError) {
-      LogEvent(LogLevel::Warning,
-               "upstream-report-malformed",
+      LogEvent(LogLevel::Warning, "upstream-report-malformed",
                { { "upstream", aUpstream.Text() }, { "cause", aError.mCause } });
       return std::optional<UpstreamReport>();
     });
@@ -590,21 +569,18 @@
       Probe(aLane, probe->mUpstream);
     } else if (const auto* close = std::get_if<CloseConnection>(&action)) {
       const auto& exchange = close->mExchange;
-      LogEvent(LogLevel::Warning,
-               "connection-unresponsive",
+      LogEvent(LogLevel::Warning, "connection-unresponsive",
                { { "upstream", exchange.mUpstream.Text() },
                  { "connection", exchange.mConnection } });
       if (const auto pool = aLane.Pool(exchange.mUpstream)) {
         pool->CloseConnectionOf(exchange.mExchange);
       }
     } else if (const auto* suspect = std::get_if<MarkSuspect>(&action)) {
-      LogEvent(LogLevel::Warning,
-               "upstream-suspect",
+      LogEvent(LogLevel::Warning, "upstream-suspect",
                { { "upstream", suspect->mUpstream.Text() } });
       mTable.OnSuspected(suspect->mUpstream, mContext.mNow());
     } else if (const auto* clear = std::get_if<ClearSuspect>(&action)) {
-      LogEvent(LogLevel::Info,
-               "upstream-answers-again",
+      LogEvent(LogLevel::Info, "upstream-answers-again",
                { { "upstream", clear->mUpstream.Text() } });
     }
   }
@@ -624,9 +600,7 @@
   }
   const auto started = mContext.mNow();
   // A probe is one short connection from the reserve of the connection limit.
-  HttpFetch(aLane.mWorker.Context(),
-            address,
-            StateRequest(),
+  HttpFetch(aLane.mWorker.Context(), address, StateRequest(),
             ExchangeWatchOptions{}.mProbeTimeout,
             [this, &aLane, aUpstream, started](const HttpExchangeResult& aResult) {
               const auto now = mContext.mNow();
@@ -664,12 +638,12 @@
   if (aFact.mKey.starts_with(kLeavingFactPrefix)) {
     const UpstreamId upstream(aFact.mKey.substr(kLeavingFactPrefix.size()));
     mTable.OnLeavingFact(upstream, aFact.mVersion, now);
-    LogEvent(LogLevel::Info,
-             "upstream-leaving",
-             { { "upstream", upstream.Text() }, { "learnt_from", aFact.mOrigin.Text() } });
+    LogEvent(
+      LogLevel::Info, "upstream-leaving",
+      { { "upstream", upstream.Text() }, { "learnt_from", aFact.mOrigin.Text() } });
   } else if (aFact.mKey.starts_with(kCrashFactPrefix)) {
     if (const auto fact = DecodeCrashFact(aFact)) {
-      PublishCrash(mCrashes.OnFact(*fact, now));
+      mCrashes.OnFact(*fact, now);
     }
   }
 }
@@ -677,11 +651,10 @@
 void
 UpstreamService::PublishLeaving(const UpstreamId& aUpstream)
 {
-  LogEvent(LogLevel::Info,
-           "upstream-leaving",
+  LogEvent(LogLevel::Info, "upstream-leaving",
            { { "upstream", aUpstream.Text() }, { "learnt_from", "own observation" } });
-  mHooks.mPublish(
-    std::string(kLeavingFactPrefix) + aUpstream.Text(), std::string(), kLeavingTtl);
+  mHooks.mPublish(std::string(kLeavingFactPrefix) + aUpstream.Text(), std::string(),
+                  kLeavingTtl);
 }
 
 void
@@ -700,9 +673,8 @@
 UpstreamService::HasPolledAll() const
 {
   std::lock_guard lock(mMutex);
-  return std::all_of(mListed.begin(), mListed.end(), [](const auto& aEntry) {
-    return aEntry.second.mIsPolled;
-  });
+  return std::all_of(mListed.begin(), mListed.end(),
+                     [](const auto& aEntry) { return aEntry.second.mIsPolled; });
 }
 
 std::vector<UpstreamStatus>
@@ -712,9 +684,7 @@
   std::vector<UpstreamStatus> statuses;
   for (auto& view : mTable.All(now)) {
     const auto id = view.mDeclaration.mUpstream;
-    statuses.push_back({ std::move(view),
-                         mBudget.Allowed(id, now),
-                         mBudget.Open(id),
+    statuses.push_back({ std::move(view), mBudget.Allowed(id, now), mBudget.Open(id),
                          mBudget.LiveOwners(id, now) });
   }
   return statuses;
--- a/src/wasabispar/net/connection_pool.cpp
+++ b/src/wasabispar/net/connection_pool.cpp
@@ -8,10 +8,8 @@
 
 namespace wasabispar {
 
-ConnectionPool::ConnectionPool(boost::asio::io_context& aContext,
-                               Endpoint aEndpoint,
-                               ConnectionPoolOptions aOptions,
-                               ConnectionPoolHooks aHooks)
+ConnectionPool::ConnectionPool(boost::asio::io_context& aContext, Endpoint aEndpoint,
+                               ConnectionPoolOptions aOptions, ConnectionPoolHooks aHooks)
   : mContext(aContext)
   , mEndpoint(std::move(aEndpoint))
   , mOptions(aOptions)
@@ -29,11 +27,11 @@
     EndUnsent(std::move(aRequest), HttpExchangeEnd::ConnectFailed, "pool is stopped");
     return;
   }
-  const bool isUnreachable = mIdle.empty() && mRunning.empty() && mOpening == 0 &&
-                             mHooks.mNow() < mReopenAt;
+  const bool isUnreachable =
+    mIdle.empty() && mRunning.empty() && mOpening == 0 && mHooks.mNow() < mReopenAt;
   if (isUnreachable) {
-    EndUnsent(
-      std::move(aRequest), HttpExchangeEnd::ConnectFailed, "upstream refused connections");
+    EndUnsent(std::move(aRequest), HttpExchangeEnd::ConnectFailed,
+              "upstream refused connections");
     return;
   }
   Enqueue(aHandle, std::move(aRequest));
@@ -45,16 +43,15 @@
 {
   const auto caller = aRequest.mCaller;
   const auto deadline = aRequest.mDeadline;
-  auto result = mQueue.Push(
-    caller, Queued{ aHandle, std::move(aRequest) }, 1, deadline, mHooks.mNow());
+  auto result = mQueue.Push(caller, Queued{ aHandle, std::move(aRequest) }, 1, deadline,
+                            mHooks.mNow());
   if (result.mHandle != 0) {
     mQueuedHandles.emplace(aHandle, result.mHandle);
   }
   if (result.mDropped) {
     auto& dropped = result.mDropped->mValue;
     mQueuedHandles.erase(dropped.mHandle);
-    EndUnsent(std::move(dropped.mRequest),
-              HttpExchangeEnd::ConnectFailed,
+    EndUnsent(std::move(dropped.mRequest), HttpExchangeEnd::ConnectFailed,
               result.mDropped->mReason == FairQueueDrop::Deadline ? "deadline passed"
                                                                   : "queue is full");
   }
@@ -106,8 +103,7 @@
   auto popped = mQueue.Pop(mHooks.mNow(), expired);
   for (auto& dropped : expired) {
     mQueuedHandles.erase(dropped.mValue.mHandle);
-    EndUnsent(std::move(dropped.mValue.mRequest),
-              HttpExchangeEnd::Cancelled,
+    EndUnsent(std::move(dropped.mValue.mRequest), HttpExchangeEnd::Cancelled,
               "deadline passed in the queue");
   }
   if (!popped) {
@@ -138,15 +134,13 @@
   const auto handle = aQueued.mHandle;
   const auto connection = aIdle.mConnection;
   mRunning.emplace(
-    handle,
-    Running{ connection, aIdle.mConnectionId, std::move(request.mDone), false });
+    handle, Running{ connection, aIdle.mConnectionId, std::move(request.mDone), false });
   if (request.mOnStarted) {
     request.mOnStarted(aIdle.mConnectionId);
   }
   const auto left =
     std::max<Duration>(request.mDeadline - now, std::chrono::milliseconds(1));
-  connection->Exchange(std::move(request.mRequest),
-                       left,
+  connection->Exchange(std::move(request.mRequest), left,
                        [weak = weak_from_this(), handle](HttpExchangeResult aResult) {
                          if (const auto self = weak.lock()) {
                            self->OnExchangeEnd(handle, std::move(aResult));
@@ -187,13 +181,13 @@
   ++mOpening;
   Idle idle{ HttpConnection::Create(mContext, mEndpoint), mNextConnection++ };
   const auto connection = idle.mConnection;
-  connection->Open(mOptions.mOpenTimeout,
-                   [weak = weak_from_this(), idle = std::move(idle)](
-                     bool aOpened, std::string) mutable {
-                     if (const auto self = weak.lock()) {
-                       self->OnOpened(std::move(idle), aOpened);
-                     }
-                   });
+  connection->Open(
+    mOptions.mOpenTimeout,
+    [weak = weak_from_this(), idle = std::move(idle)](bool aOpened, std::string) mutable {
+      if (const auto self = weak.lock()) {
+        self->OnOpened(std::move(idle), aOpened);
+      }
+    });
 }
 
 void
@@ -272,8 +266,7 @@
 {
   for (auto& dropped : mQueue.Expire(mHooks.mNow())) {
     mQueuedHandles.erase(dropped.mValue.mHandle);
-    EndUnsent(std::move(dropped.mValue.mRequest),
-              HttpExchangeEnd::Cancelled,
+    EndUnsent(std::move(dropped.mValue.mRequest), HttpExchangeEnd::Cancelled,
               "deadline passed in the queue");
   }
 }
@@ -305,7 +298,8 @@
 }
 
 void
-ConnectionPool::EndUnsent(PooledRequest aRequest, HttpExchangeEnd aEnd, std::string aCause)
+ConnectionPool::EndUnsent(PooledRequest aRequest, HttpExchangeEnd aEnd,
+                          std::string aCause)
 {
   aRequest.mDone({ aEnd, {}, std::move(aCause) }, false);
 }
--- a/src/wasabispar/net/fleet_codec.cpp
+++ b/src/wasabispar/net/fleet_codec.cpp
@@ -78,33 +78,33 @@
   }
 }
 
-wire::Outcome
-ToWire(Outcome aOutcome)
-{
-  switch (aOutcome) {
-    case Outcome::NotRun:
-      return wire::NOT_RUN;
-    case Outcome::OutcomeUnknown:
-      return wire::OUTCOME_UNKNOWN;
-    case Outcome::Ran:
-      return wire::RAN;
-  }
-  return wire::OUTCOME_UNKNOWN;
+/// Longest text of a ticket that is accepted.
+constexpr std::size_t kMaxTicketBytes = 1024;
+
+HttpExchangeEnd
+ExchangeEndFromWire(std::uint32_t aEnd)
+{
+  Require(aEnd <= static_cast<std::uint32_t>(HttpExchangeEnd::Cancelled),
+          "unknown end of an exchange");
+  return static_cast<HttpExchangeEnd>(aEnd);
 }
 
-Outcome
-FromWire(wire::Outcome aOutcome)
+std::optional<Duration>
+AgeFromWire(bool aIsSet, std::uint64_t aAgeMs)
 {
-  switch (aOutcome) {
-    case wire::NOT_RUN:
-      return Outcome::NotRun;
-    case wire::OUTCOME_UNKNOWN:
-      return Outcome::OutcomeUnknown;
-    case wire::RAN:
-      return Outcome::Ran;
-    default:
-      throw InvalidContent{ "unknown outcome" };
-  }
+  // A day is older than any bound; the limit keeps the conversion from overflowing.
+  constexpr std::uint64_t kMaxAgeMs = 24ULL * 3600 * 1000;
+  return aIsSet ? std::optional<Duration>(
+                    std::chrono::milliseconds(std::min(aAgeMs, kMaxAgeMs)))
+                : std::nullopt;
+}
+
+/// Rounded up, so that an age is never stated lower than it is.
+std::uint64_t
+AgeToWire(Duration aAge)
+{
+  return static_cast<std::uint64_t>(
+    std::chrono::ceil<std::chrono::milliseconds>(aAge).count());
 }
 
 void
@@ -200,15 +200,15 @@
 }
 
 void
-Encode(const CatalogueDeltaMessage::Item& aItem, wire::CatalogueItem& aWire)
+Encode(const CatalogueItem& aItem, wire::CatalogueItem& aWire)
 {
   aWire.set_name(aItem.mName.Text());
   aWire.set_revision(aItem.mRevision.Value());
-  aWire.set_deleted(aItem.mIsDeleted);
+  aWire.set_deleted(aItem.mDeleted);
   aWire.set_document(aItem.mDocument);
 }
 
-CatalogueDeltaMessage::Item
+CatalogueItem
 Decode(const wire::CatalogueItem& aWire)
 {
   return { ProfileName(RequiredName(aWire.name())), Revision(aWire.revision()),
@@ -227,6 +227,10 @@
   aWire.set_profile(aSub.mProfile.Text());
   aWire.set_query(aSub.mQuery);
   aWire.set_deadline_ms(aSub.mDeadlineMs);
+  aWire.set_request_id(aSub.mRequestId);
+  aWire.set_wants_state(aSub.mWantsState);
+  aWire.set_fingerprint(aSub.mFingerprint.Value());
+  aWire.set_isolated(aSub.mIsIsolated);
 }
 
 ForwardSearchMessage::Sub
@@ -240,16 +244,19 @@
            CallerId(Name(aWire.caller())),
            ProfileName(Name(aWire.profile())),
            aWire.query(),
-           aWire.deadline_ms() };
+           aWire.deadline_ms(),
+           Name(aWire.request_id()),
+           aWire.wants_state(),
+           RequestFingerprint(aWire.fingerprint()),
+           aWire.isolated() };
 }
 
 void
 Encode(const ForwardSearchReplyMessage::Sub& aSub, wire::SubReply& aWire)
 {
   aWire.set_sub_id(aSub.mSubId);
+  aWire.set_end(static_cast<std::uint32_t>(aSub.mEnd));
   aWire.set_status(aSub.mStatus);
-  aWire.set_version(aSub.mVersion.Value());
-  aWire.set_shard(aSub.mShard.Text());
   aWire.set_body(aSub.mBody);
   aWire.set_cause(aSub.mCause);
   aWire.set_draining(aSub.mIsDraining);
@@ -258,13 +265,9 @@
 ForwardSearchReplyMessage::Sub
 Decode(const wire::SubReply& aWire)
 {
-  return { aWire.sub_id(),
-           aWire.status(),
-           SnapshotVersion(aWire.version()),
-           ShardId(Name(aWire.shard())),
-           aWire.body(),
-           Name(aWire.cause()),
-           aWire.draining() };
+  return { aWire.sub_id(),      ExchangeEndFromWire(aWire.end()),
+           aWire.status(),      aWire.body(),
+           Name(aWire.cause()), aWire.draining() };
 }
 
 template<class Plain, class Wire>
@@ -332,28 +335,56 @@
     EncodeAll(aPush.mFacts, mWire.mutable_fact_push()->mutable_facts());
   }
 
-  void operator()(const CatalogueDeltaMessage& aDelta) const
+  void operator()(const CatalogueDeltaMessage& aMessage) const
   {
+    const auto& delta = aMessage.mDelta;
     auto& out = *mWire.mutable_catalogue_delta();
-    out.set_from(aDelta.mFrom.Value());
-    out.set_to(aDelta.mTo.Value());
-    EncodeAll(aDelta.mItems, out.mutable_items());
-    out.set_platform_age_ms(aDelta.mPlatformAgeMs);
+    out.set_nonce(aMessage.mNonce);
+    out.set_from(delta.mFrom.Value());
+    out.set_to(delta.mTo.Value());
+    out.set_full_list(delta.mFullList);
+    out.set_deletions_from(delta.mDeletionsFrom.Value());
+    out.set_part(delta.mPart);
+    out.set_parts(delta.mParts);
+    EncodeAll(delta.mItems, out.mutable_items());
+    if (aMessage.mPlatformAge) {
+      out.set_platform_age_ms(AgeToWire(*aMessage.mPlatformAge));
+    }
   }
 
-  void operator()(const CatalogueDigestMessage& aDigest) const
+  void operator()(const CatalogueDigestMessage& aMessage) const
   {
     auto& out = *mWire.mutable_catalogue_digest();
-    out.set_revision(aDigest.mRevision.Value());
-    out.set_digest(aDigest.mDigest);
-    out.set_platform_age_ms(aDigest.mPlatformAgeMs);
+    out.set_nonce(aMessage.mNonce);
+    out.set_reply(aMessage.mReply);
+    out.set_started(aMessage.mStarted);
+    out.set_in_contact(aMessage.mInContact);
+    out.set_revision(aMessage.mDigest.mRevision.Value());
+    out.set_hash(aMessage.mDigest.mHash);
+    if (aMessage.mPlatformAge) {
+      out.set_platform_age_ms(AgeToWire(*aMessage.mPlatformAge));
+    }
   }
 
   void operator()(const CataloguePullMessage& aPull) const
   {
+    mWire.mutable_catalogue_pull()->set_nonce(aPull.mNonce);
     mWire.mutable_catalogue_pull()->set_since(aPull.mSince.Value());
   }
 
+  void operator()(const InventoryPullMessage& aPull) const
+  {
+    mWire.mutable_inventory_pull()->set_known_hash(aPull.mKnownHash);
+  }
+
+  void operator()(const InventoryReplyMessage& aReply) const
+  {
+    auto& out = *mWire.mutable_inventory_reply();
+    out.set_hash(aReply.mHash);
+    out.set_age_ms(aReply.mAgeMs);
+    out.set_body(aReply.mBody);
+  }
+
   void operator()(const ForwardSearchMessage& aSearch) const
   {
     EncodeAll(aSearch.mSubs, mWire.mutable_forward_search()->mutable_subs());
@@ -385,12 +416,11 @@
   void operator()(const ForwardExecutionReplyMessage& aReply) const
   {
     auto& out = *mWire.mutable_forward_execution_reply();
-    out.set_outcome(ToWire(aReply.mOutcome));
-    out.set_status(aReply.mStatus);
-    out.set_body(aReply.mBody);
-    out.set_error_step(aReply.mErrorStep);
-    out.set_error_peer(aReply.mErrorPeer);
-    out.set_error_cause(aReply.mErrorCause);
+    out.set_known(aReply.mIsKnown);
+    out.set_end_condition(static_cast<std::uint32_t>(aReply.mAnswer.mEnd));
+    out.set_scope(static_cast<std::uint32_t>(aReply.mAnswer.mScope));
+    out.set_peer(aReply.mAnswer.mPeer);
+    out.set_body(aReply.mAnswer.mBody);
   }
 
   wire::Envelope& mWire;
@@ -438,21 +468,40 @@
 CatalogueDeltaMessage
 Decode(const wire::CatalogueDelta& aWire)
 {
-  CatalogueDeltaMessage delta;
-  delta.mFrom = Revision(aWire.from());
-  delta.mTo = Revision(aWire.to());
-  DecodeAll(aWire.items(), delta.mItems);
-  delta.mPlatformAgeMs = aWire.platform_age_ms();
-  return delta;
+  CatalogueDeltaMessage message;
+  message.mNonce = aWire.nonce();
+  message.mDelta.mFrom = Revision(aWire.from());
+  message.mDelta.mTo = Revision(aWire.to());
+  message.mDelta.mFullList = aWire.full_list();
+  message.mDelta.mDeletionsFrom = Revision(aWire.deletions_from());
+  message.mDelta.mPart = aWire.part();
+  message.mDelta.mParts = aWire.parts();
+  DecodeAll(aWire.items(), message.mDelta.mItems);
+  message.mPlatformAge =
+    AgeFromWire(aWire.has_platform_age_ms(), aWire.platform_age_ms());
+  return message;
+}
+
+CatalogueDigestMessage
+Decode(const wire::CatalogueDigest& aWire)
+{
+  return { aWire.nonce(),
+           aWire.reply(),
+           aWire.started(),
+           aWire.in_contact(),
+           CatalogueDigest{ Revision(aWire.revision()), aWire.hash() },
+           AgeFromWire(aWire.has_platform_age_ms(), aWire.platform_age_ms()) };
 }
 
 ForwardExecutionReplyMessage
 Decode(const wire::ForwardExecutionReply& aWire)
 {
-  return {
-    FromWire(aWire.outcome()), aWire.status(),           aWire.body(),
-    Name(aWire.error_step()),  Name(aWire.error_peer()), Name(aWire.error_cause())
-  };
+  const auto end = ParseEndCondition(aWire.end_condition());
+  Require(end.has_value(), "unknown end condition");
+  Require(aWire.scope() <= static_cast<std::uint32_t>(AnswerScope::Ticket),
+          "unknown scope of an answer");
+  return { aWire.known(), ExecutionAnswer{ *end, static_cast<AnswerScope>(aWire.scope()),
+                                           Name(aWire.peer()), aWire.body() } };
 }
 
 template<class Message, class Wire>
@@ -481,13 +530,17 @@
     }
     case wire::Envelope::kCatalogueDelta:
       return Decode(aWire.catalogue_delta());
-    case wire::Envelope::kCatalogueDigest: {
-      const auto& digest = aWire.catalogue_digest();
-      return CatalogueDigestMessage{ Revision(digest.revision()), digest.digest(),
-                                     digest.platform_age_ms() };
-    }
+    case wire::Envelope::kCatalogueDigest:
+      return Decode(aWire.catalogue_digest());
     case wire::Envelope::kCataloguePull:
-      return CataloguePullMessage{ Revision(aWire.catalogue_pull().since()) };
+      return CataloguePullMessage{ aWire.catalogue_pull().nonce(),
+                                   Revision(aWire.catalogue_pull().since()) };
+    case wire::Envelope::kInventoryPull:
+      return InventoryPullMessage{ aWire.inventory_pull().known_hash() };
+    case wire::Envelope::kInventoryReply: {
+      const auto& reply = aWire.inventory_reply();
+      return InventoryReplyMessage{ reply.hash(), reply.age_ms(), reply.body() };
+    }
     case wire::Envelope::kForwardSearch:
       return DecodeSubs<ForwardSearchMessage>(aWire.forward_search());
     case wire::Envelope::kForwardSearchReply:
@@ -498,7 +551,8 @@
     }
     case wire::Envelope::kForwardExecution: {
       const auto& execution = aWire.forward_execution();
-      return ForwardExecutionMessage{ Name(execution.ticket()),
+      Require(execution.ticket().size() <= kMaxTicketBytes, "ticket too long");
+      return ForwardExecutionMessage{ execution.ticket(),
                                       CallerId(Name(execution.caller())),
                                       ProfileName(Name(execution.profile())),
                                       execution.body(), execution.deadline_ms() };
@@ -623,6 +677,8 @@
     "forward_cancel",
     "forward_execution",
     "forward_execution_reply",
+    "inventory_pull",
+    "inventory_reply",
   };
   return kNames.at(aMessage.index());
 }
--- a/src/wasabispar/net/upstream_codec.cpp
+++ b/src/wasabispar/net/upstream_codec.cpp
@@ -105,14 +105,14 @@
 EncodeSearch(const SearchRequest& aRequest)
 {
   // The query is JSON text already, so the body is put together without parsing it.
-  return PostOf("/search",
-                "{\"request_id\":" + Quoted(aRequest.mRequestId) +
-                  ",\"index\":" + Quoted(aRequest.mIndex.Text()) +
-                  ",\"version\":" + std::to_string(aRequest.mVersion.Value()) +
-                  ",\"shard\":" + Quoted(aRequest.mShard.Text()) +
-                  ",\"caller\":" + Quoted(aRequest.mCaller.Text()) +
-                  ",\"deadline_ms\":" + std::to_string(ToMilliseconds(aRequest.mDeadline)) +
-                  ",\"query\":" + aRequest.mQuery + "}");
+  return PostOf("/search", "{\"request_id\":" + Quoted(aRequest.mRequestId) +
+                             ",\"index\":" + Quoted(aRequest.mIndex.Text()) +
+                             ",\"version\":" + std::to_string(aRequest.mVersion.Value()) +
+                             ",\"shard\":" + Quoted(aRequest.mShard.Text()) +
+                             ",\"caller\":" + Quoted(aRequest.mCaller.Text()) +
+                             ",\"deadline_ms\":" +
+                             std::to_string(ToMilliseconds(aRequest.mDeadline)) +
+                             ",\"query\":" + aRequest.mQuery + "}");
 }
 
 SearchReply
@@ -147,8 +147,8 @@
 {
   return PostOf("/execute",
                 "{\"request_id\":" + Quoted(aRequest.mRequestId) +
-                  ",\"caller\":" + Quoted(aRequest.mCaller.Text()) +
-                  ",\"deadline_ms\":" + std::to_string(ToMilliseconds(aRequest.mDeadline)) +
+                  ",\"caller\":" + Quoted(aRequest.mCaller.Text()) + ",\"deadline_ms\":" +
+                  std::to_string(ToMilliseconds(aRequest.mDeadline)) +
                   ",\"not_after_unix_ms\":" + std::to_string(aRequest.mNotAfterUnixMs) +
                   ",\"body\":" + aRequest.mBody + "}");
 }
