--- a/include/wasabispar/app/upstream_service.hpp
+++ b/include/wasabispar/app/upstream_service.hpp
@@ -42,9 +42,11 @@
   /// Publishes a fact to the data centre.
   std::function<void(std::string aKey, std::string aValue, Duration aTtl)> mPublish;
   /// Runs an exchange through @p aOwner.
-  std::function<void(const VmId& aOwner, const SubSearch&,
+  std::function<void(std::uint64_t aHandle, const VmId& aOwner, const SubSearch&,
                      std::function<void(HttpExchangeResult)>)>
     mForward;
+  /// Gives up a forwarded exchange; unknown handles are ignored.
+  std::function<void(std::uint64_t aHandle)> mForwardCancel;
   /// Asks @p aOwner for its newest state report of an upstream.
   std::function<void(const VmId& aOwner, const UpstreamId&,
                      std::function<void(std::string aBody)>)>
--- a/include/wasabispar/fleet/membership.hpp
+++ b/include/wasabispar/fleet/membership.hpp
@@ -130,6 +130,8 @@
   std::vector<DataCentreContact> Contacts(TimePoint aNow) const;
   /// @brief Whether this VM is one of the bridges of its data centre.
   bool IsBridge() const;
+  /// @brief The bridge VMs of the other data centres, by this VM's view.
+  std::vector<VmId> RemoteBridges() const;
   /// @brief Whether a message of this sender may be delivered: its incarnation is not
   /// older than the known one. An unknown sender is accepted, as it may have just
   /// started.
--- a/include/wasabispar/net/platform_client.hpp
+++ b/include/wasabispar/net/platform_client.hpp
@@ -74,7 +74,8 @@
 {
 public:
   using ValuesFn = std::function<void(std::optional<PlatformValues>, Error)>;
-  using InventoryFn = std::function<void(std::optional<PlatformInventory>, Error)>;
+  /// The body as received, so that it can be passed on to other VMs.
+  using InventoryFn = std::function<void(std::optional<std::string> aBody, Error)>;
 
   PlatformClient(boost::asio::io_context& aContext, Endpoint aPlatform);
 
@@ -83,6 +84,7 @@
   /// @brief Waits up to @p aWait for values that changed after @p aAfter.
   void WatchValues(const std::string& aPrefix, Revision aAfter, Duration aWait,
                    ValuesFn aDone);
+  /// @brief Reads the list; parse the body with ParsePlatformInventory().
   void ReadInventory(InventoryFn aDone);
 
   /// @brief Calls made since the start; each one counts against the platform's limit.
--- a/src/wasabispar/app/upstream_service.cpp
+++ b/src/wasabispar/app/upstream_service.cpp
@@ -269,7 +269,7 @@
       done({ HttpExchangeEnd::ConnectFailed, {}, "no VM holds connections" });
       return;
     }
-    mHooks.mForward(*owner, aSearch, std::move(done));
+    mHooks.mForward(aHandle, *owner, aSearch, std::move(done));
     return;
   }
   SearchForPeer(aHandle, std::move(aSearch), std::move(done));
@@ -378,6 +378,7 @@
       pool->Cancel(aHandle);
     }
   });
+  mHooks.mForwardCancel(aHandle);
 }
 
 std::optional<UpstreamId>
--- a/src/wasabispar/fleet/membership.cpp
+++ b/src/wasabispar/fleet/membership.cpp
@@ -1049,6 +1049,19 @@
   return mState->IsBridge();
 }
 
+std::vector<VmId>
+Membership::RemoteBridges() const
+{
+  const std::lock_guard lock(mState->mMutex);
+  std::vector<VmId> bridges;
+  for (const auto& [dataCentre, vms] : mState->mBridges) {
+    if (dataCentre != mState->mOwn.mIdentity.mDataCentre) {
+      bridges.insert(bridges.end(), vms.begin(), vms.end());
+    }
+  }
+  return bridges;
+}
+
 bool
 Membership::Accepts(const VmId& aSender, Incarnation aIncarnation) const
 {
--- a/src/wasabispar/net/platform_client.cpp
+++ b/src/wasabispar/net/platform_client.cpp
@@ -182,11 +182,17 @@
   ++mCalls;
   HttpRequest request;
   request.mTarget = "/v1/vms";
-  HttpFetch(
-    mContext, mPlatform, std::move(request), kCallTimeout,
-    [peer = mPlatform.Text(), done = std::move(aDone)](HttpExchangeResult aResult) {
-      Deliver<PlatformInventory>(aResult, peer, ParsePlatformInventory, done);
-    });
+  const auto body = [](const std::string& aBody, const std::string&) {
+    return Result<std::string>(aBody);
+  };
+  HttpFetch(mContext,
+            mPlatform,
+            std::move(request),
+            kCallTimeout,
+            [peer = mPlatform.Text(), done = std::move(aDone), body](
+              HttpExchangeResult aResult) {
+              Deliver<std::string>(aResult, peer, body, done);
+            });
 }
 
 } // namespace wasabispar
