--- a/include/wasabispar/app/config_service.hpp
+++ b/include/wasabispar/app/config_service.hpp
@@ -11,6 +11,7 @@
 
 #include <atomic>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -22,6 +23,13 @@
   std::function<void(const PlatformInventory&)> mOnInventory;
 };
 
+/// @brief The catalogue revision of a VM, as it reported it.
+struct ReportedRevision
+{
+  Revision mRevision;
+  TimePoint mAt{};
+};
+
 /// @brief Owns the Catalogue, ConfigSync and the platform client. Functions without
 /// another statement run on worker 0.
 class ConfigService
@@ -51,6 +59,10 @@
   /// @brief Any thread.
   bool HasInventory() const { return mInventoryHash != 0; }
   std::uint64_t PlatformCalls() const { return mPlatform.Calls(); }
+  /// @brief Asks all live VMs for their revision; the answers appear in Revisions().
+  void AskRevisions();
+  /// @brief The revision that each VM last reported.
+  const std::map<VmId, ReportedRevision>& Revisions() const { return mRevisions; }
   bool IsWatcher() const { return mIsWatcher; }
 
 private:
@@ -61,6 +73,9 @@
   Catalogue mCatalogue;
   ConfigSync mSync;
   ConfigPeers mPeers;
+  /// Live VMs of the whole fleet without this one.
+  std::vector<VmId> mOthers;
+  std::map<VmId, ReportedRevision> mRevisions;
   bool mIsSyncStarted = false;
   std::atomic<bool> mIsStarted{ false };
   std::atomic<int> mStartSource{ -1 };
@@ -79,7 +94,8 @@
 
   void Tick();
   void Run(const ConfigActions& aActions);
-  void CallPlatform(PlatformCallId aCall, Revision aAfter, Duration aTimeout, bool aWatch);
+  void CallPlatform(PlatformCallId aCall, Revision aAfter, Duration aTimeout,
+                    bool aWatch);
   void LogChange(const CatalogueChanged& aChange);
   void UpdateInventory();
   bool ReadsInventory() const;
--- a/include/wasabispar/app/fleet_link.hpp
+++ b/include/wasabispar/app/fleet_link.hpp
@@ -39,14 +39,10 @@
 
   /// @brief Sends to a VM of the view. @p aOnSent gets false when the message was never
   /// handed to a connection.
-  void Send(const VmId& aTo,
-            FleetMessage aMessage,
-            std::uint64_t aCorrelation = 0,
+  void Send(const VmId& aTo, FleetMessage aMessage, std::uint64_t aCorrelation = 0,
             SentFn aOnSent = {});
-  void SendTo(const std::string& aAddress,
-              FleetMessage aMessage,
-              std::uint64_t aCorrelation = 0,
-              SentFn aOnSent = {});
+  void SendTo(const std::string& aAddress, FleetMessage aMessage,
+              std::uint64_t aCorrelation = 0, SentFn aOnSent = {});
   /// @brief Closes the connection to a VM that is gone.
   void Forget(const std::string& aAddress);
   void Stop();
--- a/include/wasabispar/app/forwarder.hpp
+++ b/include/wasabispar/app/forwarder.hpp
@@ -17,8 +17,7 @@
 /// @brief What this VM does for others. Called on worker 0.
 struct ForwarderHooks
 {
-  std::function<void(std::uint64_t aHandle,
-                     SubSearch,
+  std::function<void(std::uint64_t aHandle, SubSearch,
                      std::function<void(HttpExchangeResult)>)>
     mServeSearch;
   std::function<void(std::uint64_t aHandle, const UpstreamId&)> mServeCancel;
@@ -41,19 +40,14 @@
   void Start();
   void Stop();
   /// @brief Runs a search through @p aOwner; ends as TimedOut at its deadline.
-  void Search(std::uint64_t aHandle,
-              const VmId& aOwner,
-              const SubSearch& aSearch,
+  void Search(std::uint64_t aHandle, const VmId& aOwner, const SubSearch& aSearch,
               ExchangeFn aDone);
   void Cancel(std::uint64_t aHandle);
   /// @brief Gets the newest state report that @p aOwner holds, empty when it has none.
-  void State(const VmId& aOwner,
-             const UpstreamId& aUpstream,
+  void State(const VmId& aOwner, const UpstreamId& aUpstream,
              std::function<void(std::string)> aDone);
-  void Execute(const TicketIssuer& aIssuer,
-               ForwardExecutionMessage aMessage,
-               TimePoint aDeadline,
-               ExecutionFn aDone);
+  void Execute(const TicketIssuer& aIssuer, ForwardExecutionMessage aMessage,
+               TimePoint aDeadline, ExecutionFn aDone);
 
   /// @brief Handles forwarding messages; false for other messages. Worker 0.
   bool OnMessage(const FleetEnvelope& aEnvelope);
@@ -100,9 +94,7 @@
   bool mIsFlushPosted = false;
   Subscription mTick;
 
-  void Queue(const VmId& aOwner,
-             ForwardSearchMessage::Sub aSub,
-             PendingSearch aPending);
+  void Queue(const VmId& aOwner, ForwardSearchMessage::Sub aSub, PendingSearch aPending);
   void QueueReply(const VmId& aTo, ForwardSearchReplyMessage::Sub aReply);
   void PostFlush();
   void Flush();
--- a/include/wasabispar/app/request_gate.hpp
+++ b/include/wasabispar/app/request_gate.hpp
@@ -39,9 +39,8 @@
 };
 
 /// @brief Checks a request against @p aView and counts it in @p aUsage.
-GateResult CheckRequest(const CatalogueView& aView,
-                        ProfileUsage& aUsage,
-                        const GateInput& aInput,
-                        TimePoint aNow);
+GateResult
+CheckRequest(const CatalogueView& aView, ProfileUsage& aUsage, const GateInput& aInput,
+             TimePoint aNow);
 
 } // namespace wasabispar
--- a/include/wasabispar/app/upstream_service.hpp
+++ b/include/wasabispar/app/upstream_service.hpp
@@ -45,6 +45,8 @@
   std::function<void(std::uint64_t aHandle, const VmId& aOwner, const SubSearch&,
                      std::function<void(HttpExchangeResult)>)>
     mForward;
+  /// A finding about a crashing request, own or from another VM.
+  std::function<void(const CrashFact&)> mOnCrashFact;
   /// Gives up a forwarded exchange; unknown handles are ignored.
   std::function<void(std::uint64_t aHandle)> mForwardCancel;
   /// Asks @p aOwner for its newest state report of an upstream.
--- a/src/wasabispar/app/config_service.cpp
+++ b/src/wasabispar/app/config_service.cpp
@@ -6,6 +6,7 @@
 #include "wasabispar/base/log.hpp"
 
 #include <algorithm>
+#include <set>
 
 namespace wasabispar {
 
@@ -26,8 +27,8 @@
 {
   ConfigSyncOptions options;
   options.mStartWait = std::chrono::milliseconds(aSettings.mStartWaitMs);
-  options.mStartPeerWait = std::min<Duration>(options.mStartPeerWait,
-                                              options.mStartWait / 2);
+  options.mStartPeerWait =
+    std::min<Duration>(options.mStartPeerWait, options.mStartWait / 2);
   return options;
 }
 
@@ -38,9 +39,7 @@
   for (const auto& item : aValues.mItems) {
     if (item.mKey.starts_with(kProfilePrefix)) {
       items.push_back({ ProfileName(item.mKey.substr(kProfilePrefix.size())),
-                        item.mRevision,
-                        item.mDeleted,
-                        item.mValue });
+                        item.mRevision, item.mDeleted, item.mValue });
     }
   }
   return items;
@@ -62,16 +61,13 @@
 
 } // namespace
 
-ConfigService::ConfigService(AppContext& aContext,
-                             FleetLink& aLink,
+ConfigService::ConfigService(AppContext& aContext, FleetLink& aLink,
                              ConfigServiceHooks aHooks)
   : mContext(aContext)
   , mLink(aLink)
   , mHooks(std::move(aHooks))
   , mPlatform(aContext.mWorkers.At(0).Context(), aContext.mSettings.mPlatform)
-  , mSync(aContext.mSettings.mVm,
-          mCatalogue,
-          SeededRandom(EntropySeed()),
+  , mSync(aContext.mSettings.mVm, mCatalogue, SeededRandom(EntropySeed()),
           Options(aContext.mSettings))
   , mRandom(SeededRandom(EntropySeed()))
 {
@@ -114,8 +110,7 @@
 }
 
 void
-ConfigService::OnView(const MemberView& aView,
-                      bool aIsBridge,
+ConfigService::OnView(const MemberView& aView, bool aIsBridge,
                       std::vector<VmId> aRemoteBridges)
 {
   ConfigPeers peers;
@@ -123,9 +118,15 @@
   peers.mRemoteBridges = std::move(aRemoteBridges);
   peers.mBridge = aIsBridge;
   std::set<DataCentreId> dataCentres;
+  mOthers.clear();
   for (const auto& [vm, member] : aView.mMembers) {
     dataCentres.insert(member.mIdentity.mDataCentre);
+    if (member.mState != MemberState::Dead && vm != mContext.mSettings.mVm) {
+      mOthers.push_back(vm);
+    }
   }
+  std::erase_if(mRevisions,
+                [&](const auto& aEntry) { return !aView.Find(aEntry.first); });
   peers.mDataCentres = std::max<std::size_t>(1, dataCentres.size());
   peers.mFleetSize = std::max<std::size_t>(1, aView.mMembers.size());
   mPeers = std::move(peers);
@@ -140,6 +141,7 @@
   const auto now = mContext.mNow();
   const auto& from = aEnvelope.mSender;
   if (const auto* digest = std::get_if<CatalogueDigestMessage>(&aEnvelope.mMessage)) {
+    mRevisions[from] = { digest->mDigest.mRevision, now };
     Run(mSync.OnMessage(from, *digest, now));
   } else if (const auto* pull = std::get_if<CataloguePullMessage>(&aEnvelope.mMessage)) {
     Run(mSync.OnMessage(from, *pull, now));
@@ -172,8 +174,7 @@
     } else if (const auto* complete = std::get_if<StartComplete>(&action)) {
       mStartSource = static_cast<int>(complete->mSource);
       mIsStarted = true;
-      LogEvent(LogLevel::Info,
-               "configuration-started",
+      LogEvent(LogLevel::Info, "configuration-started",
                { { "source", ToText(complete->mSource) },
                  { "revision", complete->mRevision.Value() } });
     } else if (const auto* changed = std::get_if<CatalogueChanged>(&action)) {
@@ -183,9 +184,7 @@
 }
 
 void
-ConfigService::CallPlatform(PlatformCallId aCall,
-                            Revision aAfter,
-                            Duration aTimeout,
+ConfigService::CallPlatform(PlatformCallId aCall, Revision aAfter, Duration aTimeout,
                             bool aWatch)
 {
   auto done = [this, aCall, aAfter, aWatch](const std::optional<PlatformValues>& aValues,
@@ -214,20 +213,29 @@
 ConfigService::LogChange(const CatalogueChanged& aChange)
 {
   for (const auto& name : aChange.mResult.mChanged) {
-    LogEvent(LogLevel::Info,
-             "profile-changed",
-             { { "profile", name.Text() },
-               { "revision", aChange.mResult.mAfter.Value() } });
+    LogEvent(
+      LogLevel::Info, "profile-changed",
+      { { "profile", name.Text() }, { "revision", aChange.mResult.mAfter.Value() } });
   }
   for (const auto& rejected : aChange.mResult.mRejected) {
-    LogEvent(LogLevel::Warning,
-             "profile-rejected",
+    LogEvent(LogLevel::Warning, "profile-rejected",
              { { "profile", rejected.mName.Text() },
                { "revision", rejected.mRevision.Value() },
                { "cause", rejected.mCause } });
   }
 }
 
+void
+ConfigService::AskRevisions()
+{
+  CatalogueDigestMessage digest;
+  digest.mStarted = mIsStarted;
+  digest.mDigest = mCatalogue.Digest();
+  for (const auto& vm : mOthers) {
+    mLink.Send(vm, digest);
+  }
+}
+
 std::string
 ConfigService::StartedBy() const
 {
@@ -282,16 +290,15 @@
   mIsReadingInventory = true;
   const auto asked = mContext.mNow();
   mLastOwnRead = asked;
-  mPlatform.ReadInventory(
-    [this, asked](const std::optional<std::string>& aBody, const Error& aError) {
-      mIsReadingInventory = false;
-      if (!aBody) {
-        LogEvent(
-          LogLevel::Warning, "platform-call-failed", { { "cause", aError.mCause } });
-        return;
-      }
-      OnInventoryBody(*aBody, asked);
-    });
+  mPlatform.ReadInventory([this, asked](const std::optional<std::string>& aBody,
+                                        const Error& aError) {
+    mIsReadingInventory = false;
+    if (!aBody) {
+      LogEvent(LogLevel::Warning, "platform-call-failed", { { "cause", aError.mCause } });
+      return;
+    }
+    OnInventoryBody(*aBody, asked);
+  });
 }
 
 void
--- a/src/wasabispar/app/fleet_link.cpp
+++ b/src/wasabispar/app/fleet_link.cpp
@@ -46,9 +46,7 @@
 }
 
 void
-FleetLink::Send(const VmId& aTo,
-                FleetMessage aMessage,
-                std::uint64_t aCorrelation,
+FleetLink::Send(const VmId& aTo, FleetMessage aMessage, std::uint64_t aCorrelation,
                 SentFn aOnSent)
 {
   const auto address = mHooks.mAddress(aTo);
@@ -62,10 +60,8 @@
 }
 
 void
-FleetLink::SendTo(const std::string& aAddress,
-                  FleetMessage aMessage,
-                  std::uint64_t aCorrelation,
-                  SentFn aOnSent)
+FleetLink::SendTo(const std::string& aAddress, FleetMessage aMessage,
+                  std::uint64_t aCorrelation, SentFn aOnSent)
 {
   FleetEnvelope envelope;
   envelope.mSender = mContext.mSettings.mVm;
@@ -73,14 +69,13 @@
   envelope.mDataCentre = mContext.mSettings.mDataCentre;
   envelope.mCorrelation = aCorrelation;
   envelope.mMessage = std::move(aMessage);
-  const auto bytes = HandleError(
-    [&]() -> Result<std::string> { return EncodeFleet(envelope); },
-    [&](const Error& aError) {
-      LogEvent(LogLevel::Error,
-               "fleet-message-not-encoded",
-               { { "peer", aAddress }, { "cause", aError.mCause } });
-      return std::string();
-    });
+  const auto bytes =
+    HandleError([&]() -> Result<std::string> { return EncodeFleet(envelope); },
+                [&](const Error& aError) {
+                  LogEvent(LogLevel::Error, "fleet-message-not-encoded",
+                           { { "peer", aAddress }, { "cause", aError.mCause } });
+                  return std::string();
+                });
   if (bytes.empty()) {
     if (aOnSent) {
       mContext.mWorkers.At(0).Post([sent = std::move(aOnSent)] { sent(false); });
@@ -113,25 +108,24 @@
 {
   const auto counters = mTransport->Counters();
   auto& metrics = mContext.mMetrics;
-  const auto set =
-    [&](const std::string& aName, const std::string& aHelp, std::uint64_t aValue) {
-      metrics.Gauge(aName, aHelp).Set(static_cast<double>(aValue));
-    };
+  const auto set = [&](const std::string& aName, const std::string& aHelp,
+                       std::uint64_t aValue) {
+    metrics.Gauge(aName, aHelp).Set(static_cast<double>(aValue));
+  };
   set("wasabispar_fleet_messages_in", "Fleet messages received.", counters.mMessagesIn);
   set("wasabispar_fleet_messages_out", "Fleet messages sent.", counters.mMessagesOut);
-  set("wasabispar_fleet_bytes_in", "Bytes of fleet messages received.", counters.mBytesIn);
+  set("wasabispar_fleet_bytes_in", "Bytes of fleet messages received.",
+      counters.mBytesIn);
   set("wasabispar_fleet_bytes_out", "Bytes of fleet messages sent.", counters.mBytesOut);
   set("wasabispar_fleet_send_failures",
       "Fleet messages that were never handed to a connection.",
       counters.mSendFailures + counters.mQueueFull);
-  set("wasabispar_fleet_not_accepted",
-      "Fleet messages refused because of their sender.",
+  set("wasabispar_fleet_not_accepted", "Fleet messages refused because of their sender.",
       counters.mNotAccepted);
   for (std::size_t i = 0; i < kFleetDecodeErrors; ++i) {
     const auto reason = static_cast<FleetDecodeError>(i);
     metrics
-      .Gauge("wasabispar_fleet_refused",
-             "Fleet messages refused, by reason.",
+      .Gauge("wasabispar_fleet_refused", "Fleet messages refused, by reason.",
              { { "reason", std::string(ToText(reason)) } })
       .Set(static_cast<double>(mTransport->DecodeCounters().Count(reason)));
   }
--- a/src/wasabispar/app/fleet_service.cpp
+++ b/src/wasabispar/app/fleet_service.cpp
@@ -52,8 +52,7 @@
 
 } // namespace
 
-FleetService::FleetService(AppContext& aContext,
-                           FleetLink& aLink,
+FleetService::FleetService(AppContext& aContext, FleetLink& aLink,
                            FleetServiceHooks aHooks)
   : mContext(aContext)
   , mLink(aLink)
@@ -68,22 +67,17 @@
 FleetService::Start()
 {
   const auto& settings = mContext.mSettings;
-  mMembership = std::make_unique<Membership>(VmIdentity{ settings.mVm,
-                                                         mContext.mIncarnation,
-                                                         mLink.Address(),
-                                                         settings.mDataCentre,
-                                                         settings.mRegion },
-                                             Options(settings),
-                                             SeededRandom(EntropySeed()),
-                                             mContext.mNow());
+  mMembership = std::make_unique<Membership>(
+    VmIdentity{ settings.mVm, mContext.mIncarnation, mLink.Address(),
+                settings.mDataCentre, settings.mRegion },
+    Options(settings), SeededRandom(EntropySeed()), mContext.mNow());
   auto& timers = mContext.mWorkers.At(0).Timers();
   mTick = timers.Every(kTickPeriod, [this] {
     Run(mMembership->Tick(mContext.mNow()));
     Run(mFacts.Tick(mContext.mNow()));
   });
   mPause = timers.OnPause(kPauseThreshold, [this](Duration aGap) {
-    LogEvent(LogLevel::Warning,
-             "process-paused",
+    LogEvent(LogLevel::Warning, "process-paused",
              { { "gap_ms", static_cast<std::uint64_t>(ToMilliseconds(aGap)) } });
     mHooks.mOnPause(aGap);
     Run(mMembership->OnPause(aGap, mContext.mNow()));
@@ -110,8 +104,7 @@
     OnSwim(aEnvelope, *ping);
   } else if (const auto* ack = std::get_if<AckMessage>(&aEnvelope.mMessage)) {
     OnSwim(aEnvelope, *ack);
-  } else if (const auto* request =
-               std::get_if<PingRequestMessage>(&aEnvelope.mMessage)) {
+  } else if (const auto* request = std::get_if<PingRequestMessage>(&aEnvelope.mMessage)) {
     OnSwim(aEnvelope, *request);
   } else if (const auto* push = std::get_if<FactPushMessage>(&aEnvelope.mMessage)) {
     Run(mFacts.OnFacts(aEnvelope.mSender, push->mFacts, mContext.mNow()));
@@ -146,10 +139,9 @@
 {
   std::vector<ListedVm> listed;
   for (const auto& vm : aInventory.mVms) {
-    listed.push_back(
-      { VmIdentity{
-          vm.mVm, Incarnation(), "tcp://" + vm.mFleet.Text(), vm.mDataCentre, vm.mRegion },
-        vm.mLeaving ? ListedState::Leaving : ListedState::Live });
+    listed.push_back({ VmIdentity{ vm.mVm, Incarnation(), "tcp://" + vm.mFleet.Text(),
+                                   vm.mDataCentre, vm.mRegion },
+                       vm.mLeaving ? ListedState::Leaving : ListedState::Live });
   }
   Run(mMembership->OnPlatformList(listed, mContext.mNow()));
 }
@@ -208,8 +200,7 @@
 FleetService::LogChange(const MemberChange& aChange)
 {
   const auto& member = aChange.mMember;
-  LogEvent(LogLevel::Info,
-           "member-changed",
+  LogEvent(LogLevel::Info, "member-changed",
            { { "vm", member.mIdentity.mVm.Text() },
              { "before", aChange.mBefore ? ToText(*aChange.mBefore) : "unknown" },
              { "after", ToText(member.mState) },
@@ -224,8 +215,8 @@
 {
   mContext.mWorkers.At(0).Dispatch(
     [this, key = std::move(aKey), value = std::move(aValue), aTtl]() mutable {
-      Run(mFacts.Publish(
-        std::move(key), UnixMilliseconds(), std::move(value), aTtl, mContext.mNow()));
+      Run(mFacts.Publish(std::move(key), UnixMilliseconds(), std::move(value), aTtl,
+                         mContext.mNow()));
     });
 }
 
@@ -254,8 +245,7 @@
 }
 
 bool
-FleetService::Accepts(const VmId& aVm,
-                      Incarnation aIncarnation,
+FleetService::Accepts(const VmId& aVm, Incarnation aIncarnation,
                       std::string_view aIp) const
 {
   if (!mMembership || !mMembership->Accepts(aVm, aIncarnation)) {
--- a/src/wasabispar/app/forwarder.cpp
+++ b/src/wasabispar/app/forwarder.cpp
@@ -42,10 +42,8 @@
 {
   SubSearch search;
   search.mUpstream = aSub.mUpstream;
-  search.mRequest = { aSub.mRequestId, aSub.mIndex,
-                      aSub.mVersion,   aSub.mShard,
-                      aSub.mCaller,    aSub.mQuery,
-                      Duration{} };
+  search.mRequest = { aSub.mRequestId, aSub.mIndex, aSub.mVersion, aSub.mShard,
+                      aSub.mCaller,    aSub.mQuery, Duration{} };
   search.mProfile = aSub.mProfile;
   search.mFingerprint = aSub.mFingerprint;
   search.mDeadline = aNow + std::chrono::milliseconds(aSub.mDeadlineMs);
@@ -76,22 +74,18 @@
 }
 
 void
-Forwarder::Search(std::uint64_t aHandle,
-                  const VmId& aOwner,
-                  const SubSearch& aSearch,
+Forwarder::Search(std::uint64_t aHandle, const VmId& aOwner, const SubSearch& aSearch,
                   ExchangeFn aDone)
 {
   mContext.mWorkers.At(0).Dispatch(
     [this, aHandle, aOwner, aSearch, done = std::move(aDone)]() mutable {
-      Queue(aOwner,
-            ToMessage(aHandle, aSearch, mContext.mNow()),
+      Queue(aOwner, ToMessage(aHandle, aSearch, mContext.mNow()),
             { aOwner, std::move(done), aSearch.mDeadline });
     });
 }
 
 void
-Forwarder::State(const VmId& aOwner,
-                 const UpstreamId& aUpstream,
+Forwarder::State(const VmId& aOwner, const UpstreamId& aUpstream,
                  std::function<void(std::string)> aDone)
 {
   mContext.mWorkers.At(0).Dispatch([this, aOwner, aUpstream, done = std::move(aDone)] {
@@ -100,8 +94,7 @@
     sub.mUpstream = aUpstream;
     sub.mWantsState = true;
     const auto deadline = mContext.mNow() + kStateTimeout;
-    Queue(aOwner,
-          std::move(sub),
+    Queue(aOwner, std::move(sub),
           { aOwner,
             [done](HttpExchangeResult aResult) {
               done(aResult.mEnd == HttpExchangeEnd::Response
@@ -113,8 +106,7 @@
 }
 
 void
-Forwarder::Queue(const VmId& aOwner,
-                 ForwardSearchMessage::Sub aSub,
+Forwarder::Queue(const VmId& aOwner, ForwardSearchMessage::Sub aSub,
                  PendingSearch aPending)
 {
   mSearches.emplace(aSub.mSubId, std::move(aPending));
@@ -183,16 +175,11 @@
 }
 
 void
-Forwarder::Execute(const TicketIssuer& aIssuer,
-                   ForwardExecutionMessage aMessage,
-                   TimePoint aDeadline,
-                   ExecutionFn aDone)
+Forwarder::Execute(const TicketIssuer& aIssuer, ForwardExecutionMessage aMessage,
+                   TimePoint aDeadline, ExecutionFn aDone)
 {
-  mContext.mWorkers.At(0).Dispatch([this,
-                                    aIssuer,
-                                    message = std::move(aMessage),
-                                    aDeadline,
-                                    done = std::move(aDone)]() mutable {
+  mContext.mWorkers.At(0).Dispatch([this, aIssuer, message = std::move(aMessage),
+                                    aDeadline, done = std::move(aDone)]() mutable {
     const auto id = mContext.NextNumber();
     message.mDeadlineMs = RemainingMs(aDeadline, mContext.mNow());
     mExecutions.emplace(id, PendingExecution{ std::move(done), aDeadline });
@@ -285,9 +272,8 @@
                           const ForwardExecutionMessage& aMessage)
 {
   mHooks.mServeExecution(
-    aMessage,
-    [this, to = aEnvelope.mSender, correlation = aEnvelope.mCorrelation](
-      ForwardExecutionReplyMessage aReply) {
+    aMessage, [this, to = aEnvelope.mSender, correlation = aEnvelope.mCorrelation](
+                ForwardExecutionReplyMessage aReply) {
       mLink.Send(to, std::move(aReply), correlation);
     });
 }
@@ -312,8 +298,7 @@
 Forwarder::OnCancel(const FleetEnvelope& aEnvelope, const ForwardCancelMessage& aCancel)
 {
   for (const auto subId : aCancel.mSubIds) {
-    const auto found =
-      mServed.find({ aEnvelope.mSender, aEnvelope.mIncarnation, subId });
+    const auto found = mServed.find({ aEnvelope.mSender, aEnvelope.mIncarnation, subId });
     if (found != mServed.end()) {
       mHooks.mServeCancel(found->second.mHandle, found->second.mUpstream);
     }
--- a/src/wasabispar/app/upstream_service.cpp
+++ b/src/wasabispar/app/upstream_service.cpp
@@ -645,6 +645,7 @@
   } else if (aFact.mKey.starts_with(kCrashFactPrefix)) {
     if (const auto fact = DecodeCrashFact(aFact)) {
       mCrashes.OnFact(*fact, now);
+      mHooks.mOnCrashFact(*fact);
     }
   }
 }
@@ -666,6 +667,7 @@
              fact.mQuarantined ? "request-quarantined" : "request-suspect",
              { { "fingerprint", fact.mFingerprint.Value() },
                { "upstreams", std::uint64_t{ fact.mUpstreams.size() } } });
+    mHooks.mOnCrashFact(fact);
     mHooks.mPublish(CrashFactKey(fact), EncodeCrashFact(fact), fact.mTimeToLive);
   }
 }
--- a/src/wasabispar/net/platform_client.cpp
+++ b/src/wasabispar/net/platform_client.cpp
@@ -185,14 +185,11 @@
   const auto body = [](const std::string& aBody, const std::string&) {
     return Result<std::string>(aBody);
   };
-  HttpFetch(mContext,
-            mPlatform,
-            std::move(request),
-            kCallTimeout,
-            [peer = mPlatform.Text(), done = std::move(aDone), body](
-              HttpExchangeResult aResult) {
-              Deliver<std::string>(aResult, peer, body, done);
-            });
+  HttpFetch(
+    mContext, mPlatform, std::move(request), kCallTimeout,
+    [peer = mPlatform.Text(), done = std::move(aDone), body](HttpExchangeResult aResult) {
+      Deliver<std::string>(aResult, peer, body, done);
+    });
 }
 
 } // namespace wasabispar
