--- a/include/wasabispar/catalogue/catalogue.hpp
+++ b/include/wasabispar/catalogue/catalogue.hpp
@@ -77,6 +77,7 @@
 
 private:
   friend class Catalogue;
+  friend class CatalogueMerge;
 
   /// The newest valid document or deletion of a key, and a newer invalid one.
   struct Entry
--- a/src/wasabispar/catalogue/catalogue.cpp
+++ b/src/wasabispar/catalogue/catalogue.cpp
@@ -173,58 +173,128 @@
   return HashText(aName.Text(), HashText(bytes));
 }
 
-namespace {
-
-template<class Entry>
-std::shared_ptr<const Entry>
-WithEffective(const CheckedItem& aChecked, const Entry* aOld)
+/// Builds the next view from the current one and a delta.
+class CatalogueMerge
 {
-  auto entry =
-    aOld != nullptr ? std::make_shared<Entry>(*aOld) : std::make_shared<Entry>();
-  entry->mRevision = aChecked.mItem->mRevision;
-  entry->mProfile = aChecked.mProfile;
-  entry->mDocument = aChecked.mItem->mDeleted
-                       ? nullptr
-                       : std::make_shared<const std::string>(aChecked.mItem->mDocument);
-  if (entry->mRejected && entry->mRejected->mRevision <= entry->mRevision) {
-    entry->mRejected.reset();
-    entry->mRejectedDocument.reset();
+public:
+  CatalogueMerge(const CatalogueView& aOld, const CatalogueDelta& aDelta, TimePoint aNow)
+    : mOld(aOld)
+    , mDelta(aDelta)
+    , mNow(aNow)
+    , mNext(std::make_shared<CatalogueView>(aOld))
+    , mTouched(aDelta.mTo > aOld.mRevision)
+  {
+    mResult.mBefore = aOld.mRevision;
+    mResult.mAfter = aOld.mRevision;
   }
-  return entry;
-}
 
-template<class Entry>
-std::shared_ptr<const Entry>
-WithRejected(const CheckedItem& aChecked, const Entry* aOld, TimePoint aNow)
-{
-  auto entry =
-    aOld != nullptr ? std::make_shared<Entry>(*aOld) : std::make_shared<Entry>();
-  entry->mRejected = RejectedDocument{ aChecked.mItem->mName, aChecked.mItem->mRevision,
-                                       aChecked.mCause, aNow };
-  entry->mRejectedDocument =
-    std::make_shared<const std::string>(aChecked.mItem->mDocument);
-  return entry;
-}
+  void Add(const std::vector<CheckedItem>& aItems)
+  {
+    for (const auto& item : aItems) {
+      Add(item);
+    }
+  }
 
-/// The entry after @p aChecked; null when it brings nothing new.
-template<class Entry>
-std::shared_ptr<const Entry>
-Merged(const CheckedItem& aChecked, const Entry* aOld, TimePoint aNow)
-{
-  const auto revision = aChecked.mItem->mRevision;
-  if (aOld != nullptr && revision <= aOld->mRevision) {
-    return nullptr;
+  /// Keys that a full list does not name were deleted at its revision or before.
+  void DeleteUnlisted()
+  {
+    std::unordered_set<ProfileName> listed;
+    for (const auto& item : mDelta.mItems) {
+      listed.insert(item.mName);
+    }
+    for (const auto& [name, entry] : mOld.mEntries) {
+      const bool exists = entry->mProfile || entry->mRejected;
+      if (exists && listed.count(name) == 0) {
+        const CatalogueItem deletion{ name, mDelta.mTo, true, {} };
+        Add(CheckedItem{ &deletion, nullptr, {} });
+      }
+    }
+    // Keys that were created and deleted between the two revisions are not known.
+    if (mDelta.mTo > mOld.mRevision && mDelta.mDeletionsFrom > mOld.mRevision) {
+      mNext->mDeletionsFrom = mDelta.mDeletionsFrom;
+    }
   }
-  if (aChecked.mCause.empty()) {
-    return WithEffective(aChecked, aOld);
+
+  /// The next view; null when nothing changed.
+  std::shared_ptr<const CatalogueView> Finish(ApplyResult& aResult)
+  {
+    if (mTouched) {
+      mNext->mRevision = mDelta.mTo;
+      mResult.mAfter = mDelta.mTo;
+      mResult.mStatus = ApplyStatus::Applied;
+      auto& changed = mResult.mChanged;
+      std::sort(changed.begin(), changed.end());
+      changed.erase(std::unique(changed.begin(), changed.end()), changed.end());
+    }
+    aResult = std::move(mResult);
+    return mTouched ? std::move(mNext) : nullptr;
   }
-  if (aOld != nullptr && aOld->mRejected && revision <= aOld->mRejected->mRevision) {
-    return nullptr;
+
+private:
+  using Entry = CatalogueView::Entry;
+
+  void Add(const CheckedItem& aItem)
+  {
+    const auto& name = aItem.mItem->mName;
+    auto& slot = mNext->mEntries[name];
+    const auto old = slot ? slot : std::make_shared<const Entry>();
+    if (!IsNews(aItem, *old)) {
+      if (!slot) {
+        mNext->mEntries.erase(name);
+      }
+      return;
+    }
+    const auto entry =
+      aItem.mCause.empty() ? WithEffective(aItem, *old) : WithRejected(aItem, *old);
+    mTouched = true;
+    if (slot) {
+      mNext->mHash -= CatalogueView::EntryHash(name, *old);
+    }
+    mNext->mHash += CatalogueView::EntryHash(name, *entry);
+    slot = entry;
   }
-  return WithRejected(aChecked, aOld, aNow);
-}
 
-} // namespace
+  static bool IsNews(const CheckedItem& aItem, const Entry& aOld)
+  {
+    const auto revision = aItem.mItem->mRevision;
+    const bool rejectedBefore =
+      !aItem.mCause.empty() && aOld.mRejected && revision <= aOld.mRejected->mRevision;
+    return revision > aOld.mRevision && !rejectedBefore;
+  }
+
+  std::shared_ptr<const Entry> WithEffective(const CheckedItem& aItem, const Entry& aOld)
+  {
+    auto entry = std::make_shared<Entry>(aOld);
+    entry->mRevision = aItem.mItem->mRevision;
+    entry->mProfile = aItem.mProfile;
+    entry->mDocument = aItem.mItem->mDeleted
+                         ? nullptr
+                         : std::make_shared<const std::string>(aItem.mItem->mDocument);
+    if (entry->mRejected && entry->mRejected->mRevision <= entry->mRevision) {
+      entry->mRejected.reset();
+      entry->mRejectedDocument.reset();
+    }
+    mResult.mChanged.push_back(aItem.mItem->mName);
+    return entry;
+  }
+
+  std::shared_ptr<const Entry> WithRejected(const CheckedItem& aItem, const Entry& aOld)
+  {
+    auto entry = std::make_shared<Entry>(aOld);
+    const auto& item = *aItem.mItem;
+    entry->mRejected = RejectedDocument{ item.mName, item.mRevision, aItem.mCause, mNow };
+    entry->mRejectedDocument = std::make_shared<const std::string>(item.mDocument);
+    mResult.mRejected.push_back(*entry->mRejected);
+    return entry;
+  }
+
+  const CatalogueView& mOld;
+  const CatalogueDelta& mDelta;
+  TimePoint mNow;
+  std::shared_ptr<CatalogueView> mNext;
+  ApplyResult mResult;
+  bool mTouched;
+};
 
 Catalogue::Catalogue()
   : mView(std::make_shared<const CatalogueView>())
@@ -261,56 +331,14 @@
     return result;
   }
 
-  auto next = std::make_shared<CatalogueView>(*mView);
-  bool touched = aDelta.mTo > own;
-  const auto merge = [&](const CheckedItem& aChecked) {
-    const auto& name = aChecked.mItem->mName;
-    const auto found = next->mEntries.find(name);
-    const auto* old = found == next->mEntries.end() ? nullptr : found->second.get();
-    auto entry = Merged(aChecked, old, aNow);
-    if (!entry) {
-      return;
-    }
-    touched = true;
-    if (!aChecked.mCause.empty()) {
-      result.mRejected.push_back(*entry->mRejected);
-    } else {
-      result.mChanged.push_back(name);
-    }
-    next->mHash += CatalogueView::EntryHash(name, *entry) -
-                   (old != nullptr ? CatalogueView::EntryHash(name, *old) : 0);
-    next->mEntries[name] = std::move(entry);
-  };
-  for (const auto& item : checked) {
-    merge(item);
-  }
+  CatalogueMerge merge(*mView, aDelta, aNow);
+  merge.Add(checked);
   if (aDelta.mFullList) {
-    std::unordered_set<ProfileName> listed;
-    for (const auto& item : aDelta.mItems) {
-      listed.insert(item.mName);
-    }
-    for (const auto& [name, entry] : mView->mEntries) {
-      const bool exists = entry->mProfile || entry->mRejected;
-      if (exists && listed.count(name) == 0) {
-        const CatalogueItem deletion{ name, aDelta.mTo, true, {} };
-        merge(CheckedItem{ &deletion, nullptr, {} });
-      }
-    }
-    // Keys that were created and deleted between the two revisions are not known.
-    if (aDelta.mTo > own && aDelta.mDeletionsFrom > own) {
-      next->mDeletionsFrom = aDelta.mDeletionsFrom;
-    }
+    merge.DeleteUnlisted();
   }
-  if (!touched) {
-    return result;
+  if (auto next = merge.Finish(result)) {
+    mView = std::move(next);
   }
-  next->mRevision = aDelta.mTo;
-  std::sort(result.mChanged.begin(), result.mChanged.end());
-  result.mChanged.erase(std::unique(result.mChanged.begin(), result.mChanged.end()),
-                        result.mChanged.end());
-  result.mStatus = ApplyStatus::Applied;
-  result.mAfter = next->mRevision;
-  mView = std::move(next);
   return result;
 }
 
