--- a/include/wasabispar/net/fleet_transport.hpp
+++ b/include/wasabispar/net/fleet_transport.hpp
@@ -55,12 +55,12 @@
 class FleetTransport
 {
 public:
-  /// @brief Called once on the executor: true when the message was handed to the
-  /// connection, false when it never will be sent.
+  /// @brief Called once on the executor, but not after Stop(): true when the message was
+  /// handed to the connection, false when it never will be sent.
   using SentFn = std::function<void(bool aIsSent)>;
 
   FleetTransport(FleetTransportOptions aOptions, FleetTransportHooks aHooks);
-  /// @brief Stops. Functions already handed to the executor do nothing afterwards.
+  /// @brief Stops.
   ~FleetTransport();
 
   /// @brief Listens on an endpoint such as `tcp://127.0.0.1:0`.
@@ -70,9 +70,11 @@
   /// @brief Sends bytes from EncodeFleet() to a peer endpoint such as
   /// `tcp://10.0.0.2:7300`. The first message to an endpoint starts its dialer.
   void Send(const std::string& aEndpoint, std::string aBytes, SentFn aOnSent = {});
-  /// @brief Closes the dialer of a peer that is gone; waiting messages fail.
+  /// @brief Closes the dialer of a peer that is gone; waiting messages fail. Not to be
+  /// called with a lock held, as it waits for nng's callback.
   void Forget(const std::string& aEndpoint);
-  /// @brief Closes all sockets and waits for nng's callbacks. Waiting messages fail.
+  /// @brief Closes all sockets and waits for running hooks and for nng's callbacks.
+  /// Waiting messages are not sent; functions still queued on the executor do nothing.
   void Stop();
 
   FleetTransportCounters Counters() const;
--- /dev/null
+++ b/src/wasabispar/net/fleet_transport.cpp
@@ -0,0 +1,609 @@
+/// @file
+/// @brief The fleet transport on nng.
+#include "wasabispar/net/fleet_transport.hpp"
+
+#include <nng/nng.h>
+#include <nng/protocol/pipeline0/pull.h>
+#include <nng/protocol/pipeline0/push.h>
+
+#include <arpa/inet.h>
+
+#include <atomic>
+#include <condition_variable>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <utility>
+#include <vector>
+
+namespace wasabispar {
+
+namespace {
+
+constexpr nng_duration kReconnectMinMs = 50;
+constexpr nng_duration kReconnectMaxMs = 1000;
+/// Addresses of closed connections that are kept: a message may be read after its
+/// connection was closed.
+constexpr std::size_t kClosedAddresses = 256;
+
+struct RemoteAddress
+{
+  std::string mIp;
+  /// `ip:port`.
+  std::string mText;
+};
+
+RemoteAddress
+ToAddress(const nng_sockaddr& aAddress)
+{
+  char text[INET6_ADDRSTRLEN] = {};
+  if (aAddress.s_family == NNG_AF_INET) {
+    in_addr address{};
+    address.s_addr = aAddress.s_in.sa_addr;
+    inet_ntop(AF_INET, &address, text, sizeof text);
+    return { text,
+             std::string(text) + ":" + std::to_string(ntohs(aAddress.s_in.sa_port)) };
+  }
+  if (aAddress.s_family == NNG_AF_INET6) {
+    inet_ntop(AF_INET6, aAddress.s_in6.sa_addr, text, sizeof text);
+    return { text, "[" + std::string(text) +
+                     "]:" + std::to_string(ntohs(aAddress.s_in6.sa_port)) };
+  }
+  return {};
+}
+
+boost::leaf::error_id
+NngFailure(std::string_view aCall, const std::string& aEndpoint, int aCode)
+{
+  return Fail(Error{ Step::FleetMessage, aEndpoint, Outcome::NotRun,
+                     std::string(aCall) + ": " + nng_strerror(aCode) });
+}
+
+} // namespace
+
+struct FleetTransport::State : std::enable_shared_from_this<State>
+{
+  struct Outgoing
+  {
+    std::string mBytes;
+    SentFn mOnSent;
+    TimePoint mDeadline{};
+  };
+
+  /// The dialer of one peer. Owned by mPeers; Close() must run before destruction.
+  struct Peer
+  {
+    Peer(State& aOwner, std::string aEndpoint)
+      : mOwner(aOwner)
+      , mEndpoint(std::move(aEndpoint))
+    {
+    }
+
+    int Open()
+    {
+      if (const int code = nng_push0_open(&mSocket)) {
+        return code;
+      }
+      mHasSocket = true;
+      if (const int code = nng_aio_alloc(&mAio, &Peer::OnSent, this)) {
+        return code;
+      }
+      nng_dialer dialer;
+      if (const int code = nng_dialer_create(&dialer, mSocket, mEndpoint.c_str())) {
+        return code;
+      }
+      nng_dialer_set_ms(dialer, NNG_OPT_RECONNMINT, kReconnectMinMs);
+      nng_dialer_set_ms(dialer, NNG_OPT_RECONNMAXT, kReconnectMaxMs);
+      return nng_dialer_start(dialer, NNG_FLAG_NONBLOCK);
+    }
+
+    void Enqueue(Outgoing aMessage)
+    {
+      bool starts = false;
+      bool isTaken = false;
+      {
+        const std::lock_guard lock(mMutex);
+        isTaken = !mIsClosed && HasRoom(aMessage.mBytes.size());
+        if (isTaken) {
+          mQueuedBytes += aMessage.mBytes.size();
+          mQueue.push_back(std::move(aMessage));
+          starts = !std::exchange(mIsSending, true);
+        }
+      }
+      if (!isTaken) {
+        ++mOwner.mQueueFull;
+        mOwner.Report(std::move(aMessage.mOnSent), false);
+      } else if (starts) {
+        SendNext();
+      }
+    }
+
+    bool HasRoom(std::size_t aBytes) const
+    {
+      const auto& options = mOwner.mOptions;
+      return mQueue.size() < options.mMaxQueuePerPeer &&
+             mQueuedBytes + aBytes <= options.mMaxQueueBytesPerPeer;
+    }
+
+    /// Starts the next send. Called by the one thread that holds mIsSending.
+    void SendNext()
+    {
+      std::vector<Outgoing> expired;
+      nng_msg* message = nullptr;
+      {
+        const std::lock_guard lock(mMutex);
+        const auto now = BootClock::now();
+        while (!mQueue.empty() && !message) {
+          auto head = std::move(mQueue.front());
+          mQueue.pop_front();
+          mQueuedBytes -= head.mBytes.size();
+          const auto left = ToMilliseconds(head.mDeadline - now);
+          if (mIsClosed || left <= 0 || nng_msg_alloc(&message, 0) != 0) {
+            expired.push_back(std::move(head));
+            continue;
+          }
+          if (nng_msg_append(message, head.mBytes.data(), head.mBytes.size()) != 0) {
+            nng_msg_free(std::exchange(message, nullptr));
+            expired.push_back(std::move(head));
+            continue;
+          }
+          nng_aio_set_timeout(mAio, static_cast<nng_duration>(left));
+          mCurrentBytes = head.mBytes.size();
+          mCurrent = std::move(head.mOnSent);
+        }
+        if (!message) {
+          mIsSending = false;
+          mIdle.notify_all();
+        }
+      }
+      for (auto& item : expired) {
+        mOwner.Report(std::move(item.mOnSent), false);
+      }
+      if (message) {
+        nng_aio_set_msg(mAio, message);
+        nng_send_aio(mSocket, mAio);
+      }
+    }
+
+    static void OnSent(void* aSelf)
+    {
+      auto& self = *static_cast<Peer*>(aSelf);
+      const bool isSent = nng_aio_result(self.mAio) == 0;
+      if (!isSent) {
+        nng_msg_free(nng_aio_get_msg(self.mAio));
+      }
+      nng_aio_set_msg(self.mAio, nullptr);
+      if (isSent) {
+        ++self.mOwner.mMessagesOut;
+        self.mOwner.mBytesOut += self.mCurrentBytes;
+      }
+      self.mOwner.Report(std::move(self.mCurrent), isSent);
+      self.SendNext();
+    }
+
+    /// Fails what waits and releases the socket. Not callable on an nng thread.
+    void Close()
+    {
+      {
+        const std::lock_guard lock(mMutex);
+        mIsClosed = true;
+      }
+      if (mHasSocket) {
+        // A send under way ends with an error, and its callback drains the queue.
+        nng_close(mSocket);
+      }
+      {
+        std::unique_lock lock(mMutex);
+        mIdle.wait(lock, [&] { return !mIsSending; });
+      }
+      if (mAio) {
+        nng_aio_stop(mAio);
+        nng_aio_free(mAio);
+        mAio = nullptr;
+      }
+    }
+
+    State& mOwner;
+    const std::string mEndpoint;
+    nng_socket mSocket = NNG_SOCKET_INITIALIZER;
+    bool mHasSocket = false;
+    nng_aio* mAio = nullptr;
+    /// Guards the members below, but for the two of the current message, which belong
+    /// to whoever holds mIsSending.
+    std::mutex mMutex;
+    std::condition_variable mIdle;
+    std::deque<Outgoing> mQueue;
+    std::size_t mQueuedBytes = 0;
+    bool mIsSending = false;
+    bool mIsClosed = false;
+    SentFn mCurrent;
+    std::size_t mCurrentBytes = 0;
+  };
+
+  State(FleetTransportOptions aOptions, FleetTransportHooks aHooks)
+    : mOptions(aOptions)
+    , mHooks(std::move(aHooks))
+  {
+  }
+
+  // ---- executor ----
+
+  /// Runs @p aFn on the executor unless the transport is stopped by then.
+  template<class Fn>
+  void Post(Fn aFn)
+  {
+    mHooks.mExecutor([self = shared_from_this(), fn = std::move(aFn)]() mutable {
+      const HookScope scope(*self);
+      if (scope.mIsEntered) {
+        fn(*self);
+      }
+    });
+  }
+
+  /// Marks a hook as running, unless the transport is stopped.
+  struct HookScope
+  {
+    explicit HookScope(State& aState)
+      : mState(aState)
+    {
+      const std::lock_guard lock(mState.mHookMutex);
+      mIsEntered = !mState.mIsStopped;
+      if (mIsEntered) {
+        ++mState.mRunningHooks;
+        sHookOwner = &mState;
+      }
+    }
+    HookScope(const HookScope&) = delete;
+    HookScope& operator=(const HookScope&) = delete;
+    ~HookScope()
+    {
+      if (!mIsEntered) {
+        return;
+      }
+      const std::lock_guard lock(mState.mHookMutex);
+      --mState.mRunningHooks;
+      sHookOwner = nullptr;
+      mState.mHooksIdle.notify_all();
+    }
+
+    State& mState;
+    bool mIsEntered = false;
+  };
+
+  void Report(SentFn aOnSent, bool aIsSent)
+  {
+    mSendFailures += aIsSent ? 0 : 1;
+    if (aOnSent) {
+      Post([onSent = std::move(aOnSent), aIsSent](State&) { onSent(aIsSent); });
+    }
+  }
+
+  // ---- sending ----
+
+  void Send(const std::string& aEndpoint, std::string aBytes, SentFn aOnSent)
+  {
+    Outgoing message{ std::move(aBytes), std::move(aOnSent),
+                      BootClock::now() + mOptions.mSendTimeout };
+    const auto peer = FindOrOpen(aEndpoint);
+    if (!peer) {
+      Report(std::move(message.mOnSent), false);
+      return;
+    }
+    peer->Enqueue(std::move(message));
+  }
+
+  std::shared_ptr<Peer> FindOrOpen(const std::string& aEndpoint)
+  {
+    const std::lock_guard lock(mPeerMutex);
+    if (mArePeersClosed) {
+      return nullptr;
+    }
+    auto& peer = mPeers[aEndpoint];
+    if (!peer) {
+      auto opened = std::make_shared<Peer>(*this, aEndpoint);
+      if (opened->Open() != 0) {
+        opened->Close();
+        mPeers.erase(aEndpoint);
+        return nullptr;
+      }
+      peer = std::move(opened);
+    }
+    return peer;
+  }
+
+  void Forget(const std::string& aEndpoint)
+  {
+    std::shared_ptr<Peer> peer;
+    {
+      const std::lock_guard lock(mPeerMutex);
+      const auto found = mPeers.find(aEndpoint);
+      if (found == mPeers.end()) {
+        return;
+      }
+      peer = std::move(found->second);
+      mPeers.erase(found);
+    }
+    peer->Close();
+  }
+
+  // ---- receiving ----
+
+  Result<void> Listen(const std::string& aEndpoint)
+  {
+    if (const int code = nng_pull0_open(&mPull)) {
+      return NngFailure("open", aEndpoint, code);
+    }
+    mHasPull = true;
+    nng_pipe_notify(mPull, NNG_PIPE_EV_ADD_PRE, &State::OnPipe, this);
+    nng_pipe_notify(mPull, NNG_PIPE_EV_REM_POST, &State::OnPipe, this);
+    if (const int code = nng_aio_alloc(&mReceive, &State::OnReceived, this)) {
+      return NngFailure("allocate", aEndpoint, code);
+    }
+    nng_listener listener;
+    if (const int code = nng_listener_create(&listener, mPull, aEndpoint.c_str())) {
+      return NngFailure("create listener", aEndpoint, code);
+    }
+    nng_listener_set_size(listener, NNG_OPT_RECVMAXSZ, kMaxFleetMessageBytes);
+    if (const int code = nng_listener_start(listener, 0)) {
+      return NngFailure("listen", aEndpoint, code);
+    }
+    int port = 0;
+    if (const int code = nng_listener_get_int(listener, NNG_OPT_TCP_BOUND_PORT, &port)) {
+      return NngFailure("read port", aEndpoint, code);
+    }
+    mPort = static_cast<std::uint16_t>(port);
+    StartReceive();
+    return {};
+  }
+
+  void StartReceive()
+  {
+    {
+      const std::lock_guard lock(mReceiveMutex);
+      if (mIsReceiveClosed) {
+        return;
+      }
+      mIsReceiving = true;
+    }
+    nng_recv_aio(mPull, mReceive);
+  }
+
+  static void OnPipe(nng_pipe aPipe, nng_pipe_ev aEvent, void* aSelf)
+  {
+    auto& self = *static_cast<State*>(aSelf);
+    const int id = nng_pipe_id(aPipe);
+    if (aEvent == NNG_PIPE_EV_ADD_PRE) {
+      nng_sockaddr address{};
+      if (nng_pipe_get_addr(aPipe, NNG_OPT_REMADDR, &address) == 0) {
+        const std::lock_guard lock(self.mReceiveMutex);
+        self.mAddresses[id] = ToAddress(address);
+      }
+      return;
+    }
+    const std::lock_guard lock(self.mReceiveMutex);
+    self.mClosedPipes.push_back(id);
+    if (self.mClosedPipes.size() > kClosedAddresses) {
+      self.mAddresses.erase(self.mClosedPipes.front());
+      self.mClosedPipes.pop_front();
+    }
+  }
+
+  static void OnReceived(void* aSelf)
+  {
+    auto& self = *static_cast<State*>(aSelf);
+    if (nng_aio_result(self.mReceive) != 0) {
+      // Only a closed socket ends a receive without a message.
+      const std::lock_guard lock(self.mReceiveMutex);
+      self.mIsReceiving = false;
+      self.mReceiveIdle.notify_all();
+      return;
+    }
+    nng_msg* message = nng_aio_get_msg(self.mReceive);
+    nng_aio_set_msg(self.mReceive, nullptr);
+    std::string bytes(static_cast<const char*>(nng_msg_body(message)),
+                      nng_msg_len(message));
+    const int pipe = nng_pipe_id(nng_msg_get_pipe(message));
+    nng_msg_free(message);
+    ++self.mMessagesIn;
+    self.mBytesIn += bytes.size();
+    RemoteAddress address;
+    bool continues = false;
+    {
+      const std::lock_guard lock(self.mReceiveMutex);
+      const auto found = self.mAddresses.find(pipe);
+      if (found != self.mAddresses.end()) {
+        address = found->second;
+      }
+      ++self.mUndelivered;
+      continues =
+        !self.mIsReceiveClosed && self.mUndelivered < self.mOptions.mMaxUndelivered;
+      self.mIsReceiving = continues;
+      if (!continues) {
+        self.mReceiveIdle.notify_all();
+      }
+    }
+    self.Post([bytes = std::move(bytes), address = std::move(address)](State& aState) {
+      aState.Deliver(bytes, address);
+    });
+    if (continues) {
+      nng_recv_aio(self.mPull, self.mReceive);
+    }
+  }
+
+  void Deliver(std::string_view aBytes, const RemoteAddress& aAddress)
+  {
+    HandleError(
+      [&]() -> Result<void> {
+        BOOST_LEAF_AUTO(envelope, DecodeFleet(aBytes, &mDecodeCounters));
+        if (mHooks.mAccepts(envelope.mSender, envelope.mIncarnation, aAddress.mIp)) {
+          mHooks.mOnMessage(std::move(envelope), aAddress.mText);
+        } else {
+          ++mNotAccepted;
+        }
+        return {};
+      },
+      [](const Error&) {});
+    bool resumes = false;
+    {
+      const std::lock_guard lock(mReceiveMutex);
+      --mUndelivered;
+      resumes = !mIsReceiving && !mIsReceiveClosed &&
+                mUndelivered <= mOptions.mMaxUndelivered / 2;
+      mIsReceiving = mIsReceiving || resumes;
+    }
+    if (resumes) {
+      nng_recv_aio(mPull, mReceive);
+    }
+  }
+
+  // ---- end ----
+
+  void CloseReceive()
+  {
+    {
+      const std::lock_guard lock(mReceiveMutex);
+      mIsReceiveClosed = true;
+    }
+    if (!mHasPull) {
+      return;
+    }
+    nng_close(mPull);
+    {
+      std::unique_lock lock(mReceiveMutex);
+      mReceiveIdle.wait(lock, [&] { return !mIsReceiving; });
+    }
+    if (mReceive) {
+      nng_aio_stop(mReceive);
+      nng_aio_free(mReceive);
+      mReceive = nullptr;
+    }
+    mHasPull = false;
+  }
+
+  void ClosePeers()
+  {
+    std::map<std::string, std::shared_ptr<Peer>> peers;
+    {
+      const std::lock_guard lock(mPeerMutex);
+      mArePeersClosed = true;
+      peers.swap(mPeers);
+    }
+    for (auto& [endpoint, peer] : peers) {
+      peer->Close();
+    }
+  }
+
+  void Stop()
+  {
+    {
+      std::unique_lock lock(mHookMutex);
+      mIsStopped = true;
+      // A hook that stops the transport does not wait for itself.
+      const int own = sHookOwner == this ? 1 : 0;
+      mHooksIdle.wait(lock, [&] { return mRunningHooks <= own; });
+    }
+    const std::lock_guard lock(mStopMutex);
+    CloseReceive();
+    ClosePeers();
+  }
+
+  const FleetTransportOptions mOptions;
+  const FleetTransportHooks mHooks;
+  /// Serialises Stop().
+  std::mutex mStopMutex;
+
+  /// Guards the three members below.
+  std::mutex mHookMutex;
+  std::condition_variable mHooksIdle;
+  bool mIsStopped = false;
+  int mRunningHooks = 0;
+  /// The transport whose hook runs on this thread.
+  static thread_local const State* sHookOwner;
+
+  /// Guards mPeers and mArePeersClosed.
+  std::mutex mPeerMutex;
+  std::map<std::string, std::shared_ptr<Peer>> mPeers;
+  bool mArePeersClosed = false;
+
+  nng_socket mPull = NNG_SOCKET_INITIALIZER;
+  bool mHasPull = false;
+  nng_aio* mReceive = nullptr;
+  std::atomic<std::uint16_t> mPort{ 0 };
+  /// Guards the members down to mIsReceiveClosed.
+  std::mutex mReceiveMutex;
+  std::condition_variable mReceiveIdle;
+  /// Remote addresses by pipe id.
+  std::map<int, RemoteAddress> mAddresses;
+  std::deque<int> mClosedPipes;
+  std::size_t mUndelivered = 0;
+  /// Whether mReceive is in use.
+  bool mIsReceiving = false;
+  bool mIsReceiveClosed = false;
+
+  std::atomic<std::uint64_t> mMessagesIn{ 0 };
+  std::atomic<std::uint64_t> mBytesIn{ 0 };
+  std::atomic<std::uint64_t> mMessagesOut{ 0 };
+  std::atomic<std::uint64_t> mBytesOut{ 0 };
+  std::atomic<std::uint64_t> mSendFailures{ 0 };
+  std::atomic<std::uint64_t> mQueueFull{ 0 };
+  std::atomic<std::uint64_t> mNotAccepted{ 0 };
+  FleetDecodeCounters mDecodeCounters;
+};
+
+thread_local const FleetTransport::State* FleetTransport::State::sHookOwner = nullptr;
+
+FleetTransport::FleetTransport(FleetTransportOptions aOptions, FleetTransportHooks aHooks)
+  : mState(std::make_shared<State>(aOptions, std::move(aHooks)))
+{
+}
+
+FleetTransport::~FleetTransport()
+{
+  mState->Stop();
+}
+
+Result<void>
+FleetTransport::Start(const std::string& aEndpoint)
+{
+  return mState->Listen(aEndpoint);
+}
+
+std::uint16_t
+FleetTransport::Port() const
+{
+  return mState->mPort;
+}
+
+void
+FleetTransport::Send(const std::string& aEndpoint, std::string aBytes, SentFn aOnSent)
+{
+  mState->Send(aEndpoint, std::move(aBytes), std::move(aOnSent));
+}
+
+void
+FleetTransport::Forget(const std::string& aEndpoint)
+{
+  mState->Forget(aEndpoint);
+}
+
+void
+FleetTransport::Stop()
+{
+  mState->Stop();
+}
+
+FleetTransportCounters
+FleetTransport::Counters() const
+{
+  return { mState->mMessagesIn, mState->mBytesIn,      mState->mMessagesOut,
+           mState->mBytesOut,   mState->mSendFailures, mState->mQueueFull,
+           mState->mNotAccepted };
+}
+
+const FleetDecodeCounters&
+FleetTransport::DecodeCounters() const
+{
+  return mState->mDecodeCounters;
+}
+
+} // namespace wasabispar
