Test Query against a naive oracle over generated traces

The oracle keeps the full history and derives pinned version, coverage, hits, missing shards, budget use and the moment of the end from scratch at each step. It found three faults, fixed here: a late ignored reply did not end the query at its target or deadline, a query without replans left waited for a newer version, and a shard whose version was gone could be retried and replanned in the same event. 40 x 100 traces pass.

--- a/include/wasabispar/query/query.hpp
+++ b/include/wasabispar/query/query.hpp
@@ -233,6 +233,8 @@
   bool mFinished = false;
   /// The pinned version is gone; replan as soon as there is a newer one.
   bool mSnapshotGone = false;
+  /// When a replan is tried again while mSnapshotGone is set.
+  TimePoint mReplanAt{};
   /// When shards that nothing is open for are looked at again.
   std::optional<TimePoint> mRecheckAt;
   std::optional<TimePoint> mArmed;
--- a/src/wasabispar/query/query.cpp
+++ b/src/wasabispar/query/query.cpp
@@ -63,12 +63,16 @@
 {
   Actions actions;
   const bool known = aReply.mSub >= 1 && aReply.mSub <= mExplain.mSubs.size();
-  if (mFinished || !known || mExplain.mSubs[aReply.mSub - 1].mFate != SubFate::Open) {
+  const bool waited = known && mExplain.mSubs[aReply.mSub - 1].mFate == SubFate::Open;
+  if (!waited || mFinished) {
     ++mExplain.mIgnoredReplies;
-    return actions;
+  } else {
+    Settle(aReply, mExplain.mSubs[aReply.mSub - 1], aNow, actions);
+  }
+  // A reply that is ignored may still be the first event after the target or deadline.
+  if (mStarted && !mFinished) {
+    Advance(aNow, actions);
   }
-  Settle(aReply, mExplain.mSubs[aReply.mSub - 1], aNow, actions);
-  Advance(aNow, actions);
   return actions;
 }
 
@@ -94,7 +98,7 @@
     return actions;
   }
   mSnapshotGone = true;
-  mRecheckAt = aNow;
+  mReplanAt = aNow;
   Advance(aNow, actions);
   return actions;
 }
@@ -129,18 +133,20 @@
     FinishNow(aNow, aActions);
     return;
   }
+  if (mSnapshotGone && mReplanAt <= aNow) {
+    if (TryReplan(aNow, aActions)) {
+      return;
+    }
+    mReplanAt = aNow + kRecheck;
+  }
   if (mPlan.mIsolated) {
     AdvanceIsolated(aNow, aActions);
   } else {
     AdvanceShards(aNow, aActions);
   }
-  const bool recheck = mRecheckAt && *mRecheckAt <= aNow;
-  if (recheck) {
+  if (mRecheckAt && *mRecheckAt <= aNow) {
     mRecheckAt.reset();
   }
-  if (mSnapshotGone && recheck && TryReplan(aNow, aActions)) {
-    return;
-  }
   if (MayFinish(aNow)) {
     FinishNow(aNow, aActions);
     return;
@@ -329,7 +335,7 @@
   }
   if (state.mOpen.empty() && aReply.mStatus == ExchangeStatus::VersionGone) {
     mSnapshotGone = true;
-    mRecheckAt = aNow;
+    mReplanAt = aNow;
   }
 }
 
@@ -368,10 +374,10 @@
   if (aNow >= mPlan.mDeadline || mCoverage.IsComplete()) {
     return true;
   }
-  const bool hopeless =
-    !mSnapshotGone && std::ranges::none_of(mShards, [&](const auto& aItem) {
-      return !aItem.second.mCovered && MayStillAnswer(aItem.second);
-    });
+  const bool hopeless = (!mSnapshotGone || mReplans >= kMaxReplans) &&
+                        std::ranges::none_of(mShards, [&](const auto& aItem) {
+                          return !aItem.second.mCovered && MayStillAnswer(aItem.second);
+                        });
   if (hopeless) {
     return true;
   }
@@ -445,7 +451,10 @@
   if (mPlan.mPolicy == PartialPolicy::AnswerAtTarget && aNow < mPlan.mTarget) {
     Earlier(next, mPlan.mTarget);
   }
-  bool idle = mSnapshotGone;
+  if (mSnapshotGone && mReplans < kMaxReplans) {
+    Earlier(next, mReplanAt);
+  }
+  bool idle = false;
   for (const auto& [shard, state] : mShards) {
     idle = idle || (!state.mCovered && state.mOpen.empty() && MayStillAnswer(state));
     if (MayHedge(state)) {
