Test the upstream layer

The directory test found that an upstream that answers after a silence was seen only when the cached view expired; such a reply now counts as a change.

--- a/include/wasabispar/upstream/upstream_table.hpp
+++ b/include/wasabispar/upstream/upstream_table.hpp
@@ -160,7 +160,8 @@
   /// @brief Latency quantile of one upstream; empty without samples.
   std::optional<Duration> Latency(const UpstreamId& aUpstream, Permille aQuantile,
                                   TimePoint aNow) const;
-  /// @brief Changes whenever versions, leaving, suspect or the set of upstreams change.
+  /// @brief Changes whenever versions, leaving, suspect or the set of upstreams change, or
+  /// an upstream answers after a silence.
   std::uint64_t Generation() const;
 
 private:
@@ -172,6 +173,7 @@
   template<class Fn>
   auto With(const UpstreamId& aUpstream, Fn&& aFn) const;
   void Changed() { mGeneration.fetch_add(1, std::memory_order_acq_rel); }
+  void OnAnswered(Entry& aEntry, TimePoint aNow);
   bool MarkLeaving(Entry& aEntry, TimePoint aNow);
   void MarkSuspect(Entry& aEntry, bool aRestarted, TimePoint aNow);
   void ClearSuspect(Entry& aEntry, TimePoint aStarted, TimePoint aNow);
--- /dev/null
+++ b/src/wasabispar/upstream/crash_tracker_test.cpp
@@ -0,0 +1,224 @@
+/// @file
+/// @brief Tests of CrashTracker, among them the bound on what one request takes down.
+#include "wasabispar/base/random.hpp"
+#include "wasabispar/upstream/crash_tracker.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace wasabispar;
+using namespace std::chrono_literals;
+
+namespace {
+
+const RequestFingerprint kBad(13);
+const ShardId kShard("s");
+
+/// VMs that resend one crashing request as often as they may. Each run crashes its
+/// upstream after a random time. Facts arrive late.
+struct Fleet
+{
+  struct Vm
+  {
+    CrashTracker mTracker;
+    std::vector<std::pair<TimePoint, CrashFact>> mInbox;
+    std::vector<std::pair<TimePoint, std::uint64_t>> mRunning; // crash time, exchange
+  };
+
+  RandomFn mRandom;
+  std::vector<Vm> mVms;
+  Duration mMaxDelay;
+  bool mFactsArrive;
+  /// A VM that has sent nothing sends to this many upstreams at once.
+  std::uint32_t mWidth;
+  /// With few upstreams the VMs often crash a common one.
+  std::uint32_t mUpstreams;
+  TimePoint mNow{ 100s };
+  std::uint64_t mNextExchange = 1;
+  std::map<std::uint64_t, UpstreamId> mTargets;
+  std::set<UpstreamId> mDown;
+
+  Fleet(std::uint64_t aSeed, std::size_t aVms, std::uint32_t aWidth, bool aFactsArrive,
+        Duration aMaxDelay)
+    : mRandom(SeededRandom(aSeed))
+    , mVms(aVms)
+    , mMaxDelay(aMaxDelay)
+    , mFactsArrive(aFactsArrive)
+    , mWidth(aWidth)
+    , mUpstreams(aSeed % 2 == 0 ? 12 : 100)
+  {
+  }
+
+  void Publish(const std::vector<CrashFact>& aFacts)
+  {
+    if (!mFactsArrive) {
+      return;
+    }
+    for (auto& vm : mVms) {
+      for (const auto& fact : aFacts) {
+        const auto delay = 1ms * mRandom(ToMilliseconds(mMaxDelay));
+        vm.mInbox.emplace_back(mNow + delay, fact);
+      }
+    }
+  }
+  void Crash(Vm& aVm)
+  {
+    for (auto i = aVm.mRunning.size(); i-- > 0;) {
+      const auto [at, exchange] = aVm.mRunning[i];
+      const auto& target = mTargets.at(exchange);
+      if (at <= mNow || mDown.contains(target)) {
+        aVm.mRunning.erase(aVm.mRunning.begin() + static_cast<std::ptrdiff_t>(i));
+        mDown.insert(target);
+        Publish(aVm.mTracker.OnEnded(exchange, ExchangeStatus::ConnectionLost, mNow));
+        Publish(aVm.mTracker.OnConnectFailed(target, mNow));
+      }
+    }
+  }
+  void Send(Vm& aVm)
+  {
+    // An upstream that is down takes no request; VMs share a small set of targets.
+    const auto verdict = aVm.mTracker.Judge(kBad, mNow);
+    if (verdict == CrashVerdict::Hold || verdict == CrashVerdict::Quarantined ||
+        !aVm.mRunning.empty()) {
+      return;
+    }
+    const auto width = verdict == CrashVerdict::Normal ? mWidth : 1;
+    for (std::uint32_t i = 0; i < width; ++i) {
+      const UpstreamId target("u" + std::to_string(mRandom(mUpstreams)));
+      if (mDown.contains(target)) {
+        continue;
+      }
+      const auto exchange = mNextExchange++;
+      const auto started = aVm.mTracker.TryStart(exchange, target, kBad, kShard, mNow);
+      if (started == CrashVerdict::Normal || started == CrashVerdict::RunAlone) {
+        mTargets[exchange] = target;
+        aVm.mRunning.emplace_back(mNow + 1ms * mRandom(4000), exchange);
+      }
+    }
+  }
+  std::size_t Run(Duration aTime)
+  {
+    for (const auto end = mNow + aTime; mNow < end; mNow += 10ms) {
+      for (auto& vm : mVms) {
+        std::erase_if(vm.mInbox, [&](const auto& aItem) {
+          if (aItem.first <= mNow) {
+            vm.mTracker.OnFact(aItem.second, mNow);
+          }
+          return aItem.first <= mNow;
+        });
+        Crash(vm);
+        if (mRandom(20) == 0) {
+          Send(vm);
+        }
+      }
+    }
+    return mDown.size();
+  }
+};
+
+} // namespace
+
+TEST_CASE("one crashing request takes down at most V * W + 1 upstreams")
+{
+  // Guards against a request that is resent through all VMs until nothing serves. The
+  // period is one quarantine; facts take up to the hold time.
+  std::size_t worst = 0;
+  for (std::uint64_t seed = 0; seed < 540; ++seed) {
+    const std::size_t vms = 1 + seed % 9;
+    const std::uint32_t width = 1 + seed / 9 % 3;
+    Fleet fleet(seed, vms, width, true, 3s);
+    const auto down = fleet.Run(60s);
+    CAPTURE(seed);
+    CHECK(down >= 1);
+    CHECK(down <= vms * width + 1);
+    worst = vms == 9 && width == 1 ? std::max(worst, down) : worst;
+  }
+  MESSAGE("worst of 9 VMs, one upstream at a time: " << worst);
+}
+
+TEST_CASE("without any facts each VM alone takes down at most W + 1 upstreams")
+{
+  // Guards against unlimited crashes during a partition of the fleet.
+  for (std::uint64_t seed = 0; seed < 200; ++seed) {
+    const std::size_t vms = 1 + seed % 4;
+    const std::uint32_t width = 1 + seed % 3;
+    CAPTURE(seed);
+    CHECK(Fleet(seed, vms, width, false, 1s).Run(60s) <= vms * (width + 1));
+  }
+}
+
+TEST_CASE("facts at once: two upstreams, plus one for each VM that had already sent it")
+{
+  // Guards against the figure in the failure table of the design page.
+  CHECK(Fleet(1, 1, 1, true, 1ms).Run(60s) == 2);
+  for (std::uint64_t seed = 0; seed < 100; ++seed) {
+    CHECK(Fleet(seed, 3, 1, true, 20ms).Run(60s) <= 4);
+  }
+}
+
+TEST_CASE("unrelated requests are cleared when they complete")
+{
+  // Guards against a quarantine of requests that happened to be in flight, also when a
+  // rack with two upstreams fails under one query.
+  CrashTracker tracker;
+  TimePoint now{ 100s };
+  const RequestFingerprint good(1);
+  const ShardId other("t");
+  tracker.TryStart(1, UpstreamId("a"), good, kShard, now);
+  tracker.TryStart(2, UpstreamId("b"), good, other, now);
+  tracker.TryStart(3, UpstreamId("a"), kBad, kShard, now);
+  for (const std::uint64_t exchange : { 1, 2, 3 }) {
+    tracker.OnEnded(exchange, ExchangeStatus::ConnectionLost, now);
+  }
+  CHECK(tracker.Judge(good, now) == CrashVerdict::Hold); // a crash or only a reset
+  CHECK(tracker.OnConnectFailed(UpstreamId("a"), now).size() == 2);
+  CHECK(tracker.OnConnectFailed(UpstreamId("b"), now).size() == 1);
+  now += 2999ms;
+  CHECK(tracker.Judge(good, now) == CrashVerdict::Hold);
+  now += 1ms;
+  CHECK(tracker.TryStart(4, UpstreamId("c"), good, kShard, now) ==
+        CrashVerdict::RunAlone);
+  CHECK(tracker.TryStart(5, UpstreamId("d"), good, other, now) == CrashVerdict::Hold);
+  tracker.OnEnded(4, ExchangeStatus::Ok, now);
+  CHECK(tracker.Judge(good, now) == CrashVerdict::RunAlone); // shard t is still open
+  tracker.TryStart(6, UpstreamId("d"), good, other, now);
+  tracker.OnEnded(6, ExchangeStatus::Ok, now);
+  CHECK(tracker.Judge(good, now) == CrashVerdict::Normal);
+  // The bad one crashes again; a restart in time for a new connection does not help it.
+  tracker.TryStart(7, UpstreamId("c"), kBad, kShard, now);
+  const auto facts = tracker.OnEnded(7, ExchangeStatus::ConnectionLost, now);
+  REQUIRE(facts.size() == 1);
+  CHECK(facts[0].mQuarantined);
+  tracker.OnConnected(UpstreamId("c"));
+  CHECK(tracker.Judge(kBad, now + 9min) == CrashVerdict::Quarantined);
+  CHECK(tracker.Quarantined(now).size() == 1);
+  CHECK(tracker.Judge(kBad, now + 10min) == CrashVerdict::Normal);
+}
+
+TEST_CASE("a reset while other exchanges run or new connections work is no crash")
+{
+  // Guards against suspicion after an idle time-out or a proxy reset.
+  CrashTracker tracker;
+  const TimePoint now{ 100s };
+  const UpstreamId up("a");
+  tracker.TryStart(1, up, kBad, kShard, now);
+  tracker.TryStart(2, up, RequestFingerprint(2), kShard, now);
+  tracker.OnEnded(1, ExchangeStatus::ConnectionLost, now);
+  CHECK(tracker.OnConnectFailed(up, now).empty()); // exchange 2 still runs
+  CHECK(tracker.OnEnded(2, ExchangeStatus::Ok, now).empty());
+  tracker.OnConnected(up);
+  CHECK(tracker.Judge(kBad, now) == CrashVerdict::Normal);
+}
+
+TEST_CASE("a fact of another VM makes suspect, two separate ones quarantine")
+{
+  CrashTracker tracker;
+  const TimePoint now{ 100s };
+  tracker.OnFact({ kBad, false, { UpstreamId("a") }, { kShard }, 1min }, now);
+  tracker.OnFact({ kBad, false, { UpstreamId("a") }, { kShard }, 1min }, now);
+  CHECK(tracker.Judge(kBad, now) == CrashVerdict::Hold);
+  CHECK(tracker.Judge(kBad, now + 3s) == CrashVerdict::RunAlone);
+  tracker.OnFact({ kBad, false, { UpstreamId("b") }, { kShard }, 1min }, now);
+  CHECK(tracker.Judge(kBad, now + 3s) == CrashVerdict::Quarantined);
+}
--- /dev/null
+++ b/src/wasabispar/upstream/snapshot_directory_test.cpp
@@ -0,0 +1,153 @@
+/// @file
+/// @brief Differential test of SnapshotDirectory on generated tables.
+#include "wasabispar/upstream/snapshot_directory.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <set>
+
+using namespace wasabispar;
+using namespace std::chrono_literals;
+
+namespace {
+
+const IndexName kIndex("idx");
+
+/// What one upstream last said, in the plainest form.
+struct Naive
+{
+  bool mDeclared = false;
+  bool mLeaving = false;
+  bool mSuspect = false;
+  std::optional<TimePoint> mLastReply;
+  std::vector<DeclaredVersion> mVersions;
+};
+
+std::optional<Snapshot>
+NaiveChoose(const std::map<UpstreamId, Naive>& aWorld, Permille aWanted, TimePoint aNow)
+{
+  std::optional<Snapshot> best;
+  for (std::uint64_t number = 0; number < 8; ++number) {
+    std::set<ShardId> map;
+    std::set<ShardId> reachable;
+    bool declared = false;
+    for (const auto& [id, upstream] : aWorld) {
+      for (const auto& version : upstream.mVersions) {
+        if (!upstream.mDeclared || version.mVersion != SnapshotVersion(number)) {
+          continue;
+        }
+        declared = true;
+        map.insert(version.mMap.begin(), version.mMap.end());
+        map.insert(version.mHeld.begin(), version.mHeld.end());
+        if (!upstream.mLeaving && !upstream.mSuspect && upstream.mLastReply &&
+            aNow - *upstream.mLastReply <= 5s) {
+          reachable.insert(version.mHeld.begin(), version.mHeld.end());
+        }
+      }
+    }
+    if (!declared) {
+      continue;
+    }
+    const auto share =
+      map.empty() ? 0 : static_cast<std::uint32_t>(reachable.size() * 1000 / map.size());
+    Snapshot snapshot{
+      kIndex, SnapshotVersion(number), { map.begin(), map.end() }, Permille(share)
+    };
+    // Versions come in ascending order: a newer one wins if it reaches enough, or if
+    // the best so far does not and it reaches as much.
+    if (!best || snapshot.mReachable >= aWanted ||
+        (best->mReachable < aWanted && snapshot.mReachable >= best->mReachable)) {
+      best = snapshot;
+    }
+  }
+  return best;
+}
+
+} // namespace
+
+TEST_CASE("the directory agrees with a naive one over generated histories")
+{
+  // Guards against a wrong version during an index switch, a repartition, a
+  // disagreement about a map, or with stale cached views.
+  CHECK(rc::check([](const std::vector<std::uint32_t>& aScript) {
+    UpstreamTable table;
+    const SnapshotDirectory directory(table, { 5s, 100ms });
+    std::map<UpstreamId, Naive> world;
+    TimePoint now{ 100s };
+    for (auto word : aScript) {
+      const auto next = [&](std::uint32_t aBound) {
+        word = word * 747796405U + 2891336453U;
+        return (word >> 16) % aBound;
+      };
+      now += 101ms * next(10);
+      const UpstreamId id("u" + std::to_string(next(4)));
+      auto& naive = world[id];
+      if (!naive.mDeclared) {
+        table.OnDeclared({ id, kIndex, {}, "", false, 25 }, now);
+        naive = Naive{};
+        naive.mDeclared = true;
+      }
+      const auto event = next(10);
+      if (event < 5) {
+        UpstreamReport report{ kIndex, next(8) == 0, {}, 2, 25 };
+        for (std::uint64_t number = 1 + next(3), n = next(3); n > 0; --n, ++number) {
+          DeclaredVersion version{ SnapshotVersion(number), {}, {} };
+          for (std::uint32_t shard = 0; shard < 4 + number % 2; ++shard) {
+            const ShardId name("s" + std::to_string(shard));
+            if (next(10) != 0) { // now and then a map lacks a shard
+              version.mMap.push_back(name);
+            }
+            if (next(2) == 0) {
+              version.mHeld.push_back(name);
+            }
+          }
+          report.mVersions.push_back(version);
+        }
+        now += 1ms;
+        table.OnReport(id, report, now, now);
+        if (report.mDraining) {
+          naive.mLeaving = true;
+        } else {
+          naive = { true, false, false, now, report.mVersions };
+        }
+      } else if (event == 5) {
+        table.OnSuspected(id, now);
+        naive.mSuspect = true;
+      } else if (event == 6) {
+        table.OnProbeAnswered(id, now, now);
+        naive.mSuspect = false;
+        naive.mLastReply = now;
+      } else if (event == 7) {
+        table.OnRemoved(id);
+        naive.mDeclared = false;
+      } else if (event == 8) {
+        const SnapshotVersion version(1 + next(3));
+        table.OnExchangeStarted(id, now);
+        table.OnExchangeEnded(
+          id, { ExchangeStatus::VersionGone, 1ms, version, {}, false }, now);
+        naive.mLastReply = now;
+        std::erase_if(naive.mVersions, [&](const DeclaredVersion& aVersion) {
+          return aVersion.mVersion == version;
+        });
+      } else {
+        now += 6s;
+      }
+      const Permille wanted(next(5) * 250);
+      const auto chosen = directory.Choose(kIndex, wanted, now);
+      const auto expected = NaiveChoose(world, wanted, now);
+      RC_ASSERT(chosen.has_value() == expected.has_value());
+      if (chosen) {
+        RC_ASSERT(chosen->mVersion == expected->mVersion);
+        RC_ASSERT(chosen->mShards == expected->mShards);
+        RC_ASSERT(chosen->mReachable == expected->mReachable);
+        for (const auto& shard : chosen->mShards) {
+          for (const auto& holder :
+               directory.Holders(kIndex, chosen->mVersion, shard, now)) {
+            RC_ASSERT(world.at(holder).mDeclared);
+          }
+        }
+      }
+    }
+  }));
+}
--- a/src/wasabispar/upstream/upstream_table.cpp
+++ b/src/wasabispar/upstream/upstream_table.cpp
@@ -13,6 +13,10 @@
 /// within some ten exchanges and damps single stragglers.
 constexpr int kMeanWeight = 8;
 
+/// A reply after a longer silence counts as a change, so that cached views see at once
+/// that the upstream answers again. Shorter than any limit for a recent reply.
+constexpr Duration kSilence = std::chrono::seconds(1);
+
 } // namespace
 
 struct UpstreamTable::Entry
@@ -172,7 +176,7 @@
     aEntry.mInFlight -= std::min(aEntry.mInFlight, 1U);
     aEntry.mLastExchange = aNow;
     if (IsReply(aEnd.mStatus)) {
-      aEntry.mLastReply = aNow;
+      OnAnswered(aEntry, aNow);
     }
     switch (aEnd.mStatus) {
       case ExchangeStatus::Ok:
@@ -225,7 +229,7 @@
                                TimePoint aNow)
 {
   With(aUpstream, [&](Shard&, Entry& aEntry) {
-    aEntry.mLastReply = aNow;
+    OnAnswered(aEntry, aNow);
     ClearSuspect(aEntry, aStarted, aNow);
     return true;
   });
@@ -262,6 +266,15 @@
   });
 }
 
+void
+UpstreamTable::OnAnswered(Entry& aEntry, TimePoint aNow)
+{
+  if (!aEntry.mLastReply || aNow - *aEntry.mLastReply > kSilence) {
+    Changed();
+  }
+  aEntry.mLastReply = aNow;
+}
+
 bool
 UpstreamTable::MarkLeaving(Entry& aEntry, TimePoint aNow)
 {
--- /dev/null
+++ b/src/wasabispar/upstream/upstream_table_test.cpp
@@ -0,0 +1,206 @@
+/// @file
+/// @brief Tests of UpstreamTable and ChooseReplica.
+#include "wasabispar/upstream/replica_choice.hpp"
+#include "wasabispar/upstream/upstream_table.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <thread>
+
+using namespace wasabispar;
+using namespace std::chrono_literals;
+
+namespace {
+
+const UpstreamId kUp("u1");
+const ShardId kShard("s1");
+const SnapshotVersion kVersion(7);
+
+UpstreamReport
+ReportOf(bool aDraining)
+{
+  return { IndexName("idx"), aDraining, { { kVersion, { kShard }, { kShard } } }, 4, 25 };
+}
+
+UpstreamDeclaration
+DeclarationOf(const UpstreamId& aUpstream, bool aLeaving)
+{
+  return { aUpstream, IndexName("idx"), DataCentreId("dc"), "127.0.0.1:1", aLeaving, 25 };
+}
+
+struct Fixture
+{
+  TimePoint mNow{ 100s };
+  UpstreamTable mTable;
+
+  Fixture() { Add(kUp); }
+  void Add(const UpstreamId& aUpstream)
+  {
+    mTable.OnDeclared(DeclarationOf(aUpstream, false), mNow);
+    mTable.OnReport(aUpstream, ReportOf(false), mNow, mNow);
+  }
+  bool End(const UpstreamId& aUpstream, ExchangeStatus aStatus, bool aDraining = false)
+  {
+    mTable.OnExchangeStarted(aUpstream, mNow);
+    return mTable.OnExchangeEnded(aUpstream,
+                                  { aStatus, 5ms, kVersion, kShard, aDraining }, mNow);
+  }
+  ReplicaChoice Choose(ReplicaRequest aRequest = {}) const
+  {
+    aRequest.mVersion = kVersion;
+    aRequest.mShard = kShard;
+    RandomFn random = SeededRandom(1);
+    return ChooseReplica(mTable.All(mNow), aRequest, random);
+  }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(Fixture, "each sign of leaving excludes the only replica at once")
+{
+  // Guards against new work for an upstream that leaves, also when nothing else holds
+  // the shard.
+  REQUIRE(Choose().mUpstream == kUp);
+  SUBCASE("platform list")
+  {
+    CHECK(mTable.OnDeclared(DeclarationOf(kUp, true), mNow));
+  }
+  SUBCASE("state report")
+  {
+    CHECK(mTable.OnReport(kUp, ReportOf(true), mNow, mNow));
+  }
+  SUBCASE("late state report")
+  {
+    CHECK(mTable.OnReport(kUp, ReportOf(true), mNow - 1s, mNow));
+  }
+  SUBCASE("503")
+  {
+    CHECK(End(kUp, ExchangeStatus::Draining));
+  }
+  SUBCASE("header")
+  {
+    CHECK(End(kUp, ExchangeStatus::Ok, true));
+  }
+  SUBCASE("fact")
+  {
+    CHECK(mTable.OnLeavingFact(kUp, 1, mNow));
+  }
+  const auto choice = Choose();
+  CHECK_FALSE(choice.mUpstream);
+  CHECK(choice.mSkipped == std::vector<SkippedReplica>{ { kUp, SkipReason::Leaving } });
+  CHECK_FALSE(End(kUp, ExchangeStatus::Draining)); // only the first sign is news
+}
+
+TEST_CASE_FIXTURE(Fixture, "a leaving upstream comes back only with a newer state report")
+{
+  // Guards against a lagging list, an old report or a repeated fact that decide.
+  mTable.OnLeavingFact(kUp, 5, mNow);
+  mTable.OnDeclared(DeclarationOf(kUp, false), mNow + 1s);
+  mTable.OnReport(kUp, ReportOf(false), mNow - 1ms, mNow + 1s);
+  mTable.OnReport(kUp, ReportOf(false), mNow, mNow + 1s);
+  CHECK_FALSE(Choose().mUpstream);
+  mTable.OnReport(kUp, ReportOf(false), mNow + 1ms, mNow + 1s);
+  CHECK(Choose().mUpstream == kUp);
+  CHECK_FALSE(mTable.OnLeavingFact(kUp, 5, mNow + 2s));
+  CHECK(Choose().mUpstream == kUp);
+  mTable.OnDeclared(DeclarationOf(kUp, true), mNow + 2s);
+  mTable.OnReport(kUp, ReportOf(false), mNow + 3s, mNow + 3s);
+  CHECK_FALSE(Choose().mUpstream); // the list still says leaving
+}
+
+TEST_CASE_FIXTURE(Fixture,
+                  "a failed connection makes suspect until a newer probe answers")
+{
+  End(kUp, ExchangeStatus::ConnectFailed);
+  mTable.OnProbeAnswered(kUp, mNow - 1ms, mNow);
+  CHECK(Choose().mSkipped.at(0).mReason == SkipReason::Suspect);
+  mTable.OnProbeAnswered(kUp, mNow + 1ms, mNow + 2ms);
+  CHECK(Choose().mUpstream == kUp);
+  // Cold start: the returned upstream ramps up again.
+  CHECK(mTable.Find(kUp, mNow + 2ms)->mWarmth == Permille(100));
+  CHECK(mTable.Find(kUp, mNow + 2ms)->mSlotLimit == 1);
+  CHECK(mTable.Find(kUp, mNow + 5s + 2ms)->mWarmth == Permille(550));
+  CHECK(mTable.Find(kUp, mNow + 11s)->mWarmth == Permille(1000));
+}
+
+TEST_CASE_FIXTURE(Fixture, "what an upstream says is gone is not asked for again")
+{
+  SUBCASE("version")
+  {
+    End(kUp, ExchangeStatus::VersionGone);
+  }
+  SUBCASE("shard")
+  {
+    End(kUp, ExchangeStatus::ShardGone);
+  }
+  CHECK(Choose().mSkipped.at(0).mReason == SkipReason::NotHeld);
+  mTable.OnReport(kUp, ReportOf(false), mNow + 1s, mNow + 1s);
+  CHECK(Choose().mUpstream == kUp);
+}
+
+TEST_CASE_FIXTURE(Fixture, "an isolated replica gets no other work")
+{
+  REQUIRE(mTable.TryIsolate(kUp));
+  CHECK_FALSE(mTable.TryIsolate(kUp));
+  CHECK(Choose().mSkipped.at(0).mReason == SkipReason::Isolated);
+  mTable.EndIsolation(kUp);
+  mTable.OnExchangeStarted(kUp, mNow);
+  CHECK_FALSE(mTable.TryIsolate(kUp));
+  ReplicaRequest isolated;
+  isolated.mIsolated = true;
+  CHECK(Choose(isolated).mSkipped.at(0).mReason == SkipReason::NotIdle);
+}
+
+TEST_CASE_FIXTURE(Fixture, "own observations outweigh hints, and load outweighs latency")
+{
+  // Guards against a health endpoint that misleads.
+  const UpstreamId other("u2");
+  Add(other);
+  mNow += 11s; // past slow start
+  mTable.OnHints(kUp, false, Permille(900));
+  CHECK(Choose().mUpstream == other);
+  End(kUp, ExchangeStatus::Ok);
+  End(other, ExchangeStatus::Ok);
+  mTable.OnExchangeStarted(other, mNow);
+  CHECK(Choose().mUpstream == kUp);
+  ReplicaRequest tried;
+  tried.mTried = { kUp };
+  CHECK(Choose(tried).mUpstream == other);
+  tried.mExtra = true;
+  for (int i = 0; i < 20; ++i) {
+    mTable.OnExchangeStarted(other, mNow);
+  }
+  CHECK(Choose(tried).mSkipped.back().mReason == SkipReason::AtSlotLimit);
+}
+
+TEST_CASE("exchanges from several threads are all counted")
+{
+  // Guards against a lost update under the shard locks; run it under TSAN.
+  UpstreamTable table;
+  const TimePoint now{ 1s };
+  for (int i = 0; i < 8; ++i) {
+    table.OnDeclared(DeclarationOf(UpstreamId("u" + std::to_string(i)), false), now);
+  }
+  const auto work = [&] {
+    for (int i = 0; i < 4000; ++i) {
+      const UpstreamId id("u" + std::to_string(i % 8));
+      table.OnExchangeStarted(id, now);
+      if (i % 2 == 0) {
+        table.OnExchangeEnded(id, { ExchangeStatus::Ok, 5ms, {}, {}, false }, now);
+      }
+      if (i % 100 == 0) {
+        table.GroupLatency(IndexName("idx"), Permille(950), now);
+      }
+    }
+  };
+  {
+    std::jthread first(work);
+    std::jthread second(work);
+  }
+  std::uint32_t inFlight = 0;
+  for (const auto& view : table.All(now)) {
+    inFlight += view.mInFlight;
+  }
+  CHECK(inFlight == 4000);
+}
