--- a/include/wasabispar/query/explain.hpp
+++ b/include/wasabispar/query/explain.hpp
@@ -39,9 +39,11 @@
   Mismatch,
   /// Given up: the shard was covered, the query ended or was replanned.
   Cancelled,
+  /// Counted once, but the query was replanned at another version.
+  Discarded,
 };
 
-/// @brief `open`, `counted`, `failed`, `mismatch` or `cancelled`.
+/// @brief `open`, `counted`, `failed`, `mismatch`, `cancelled` or `discarded`.
 std::string_view
 ToText(SubFate aFate);
 
--- a/include/wasabispar/query/load_budget.hpp
+++ b/include/wasabispar/query/load_budget.hpp
@@ -60,6 +60,9 @@
   bool TryTake(ExtraLoad aKind, TimePoint aNow);
   /// @brief Counts extra sub-requests that are sent without budget.
   void TakeForced(std::uint64_t aCount);
+  /// @brief Takes a forced retry; false while upstreams shed load, because retries would
+  /// then add to the overload that they answer to.
+  bool TryTakeForced(TimePoint aNow);
   /// @brief An upstream shed load.
   void OnShed(TimePoint aNow);
 
@@ -74,8 +77,9 @@
   LoadBudgetOptions mOptions;
   /// Guards all members below.
   mutable std::mutex mMutex;
-  /// Thousandths of a token.
-  std::int64_t mTokens;
+  /// Thousandths of a token. Starts at 0, so that the extra load stays within the budget
+  /// from the first query on.
+  std::int64_t mTokens = 0;
   TimePoint mShedUntil{};
   Permille mFleetLevel;
   TimePoint mFleetLevelUntil{};
--- a/include/wasabispar/query/query.hpp
+++ b/include/wasabispar/query/query.hpp
@@ -65,7 +65,9 @@
   std::function<bool(ExtraLoad, TimePoint aNow)> mTakeBudget;
   /// Counts first tries; see LoadBudget::OnNeeded().
   std::function<void(std::uint64_t)> mCountNeeded;
-  /// Counts extra sub-requests without budget; see LoadBudget::TakeForced().
+  /// Takes a retry without budget; see LoadBudget::TryTakeForced().
+  std::function<bool(TimePoint aNow)> mTakeForced;
+  /// Counts the sub-requests of a replan; see LoadBudget::TakeForced().
   std::function<void(std::uint64_t)> mCountForced;
   /// The snapshot for a replan; see SnapshotDirectory::Choose().
   std::function<std::optional<Snapshot>(const IndexName&, Permille aWanted,
@@ -78,10 +80,11 @@
 DefaultQueryHooks();
 
 /// @brief Hooks on the parts of this process, all of which outlive the query.
-/// @p aQuantile is the latency quantile after which a sub-request is hedged.
+/// @p aQuantile is the latency quantile after which a sub-request is hedged; for the
+/// default see docs/decisions/hedge-delay-and-budget.md.
 QueryHooks
 MakeQueryHooks(const UpstreamTable& aTable, const SnapshotDirectory& aDirectory,
-               LoadBudget& aBudget, RandomFn aRandom, Permille aQuantile = Permille(950));
+               LoadBudget& aBudget, RandomFn aRandom, Permille aQuantile = Permille(970));
 
 /// @brief Send a sub-request.
 struct SendSub
@@ -152,8 +155,8 @@
 ///
 /// Retries take a token of the budget. Without one, a shard whose only try failed is
 /// retried once all the same (`forced-retry`) and counted, because the coverage promise
-/// goes before the extra-load target. The same holds for the first replan; a second one
-/// needs a token.
+/// goes before the extra-load target; but not after a shed reply. The first replan needs
+/// no token either; a second one does. See docs/decisions/forced-retries.md.
 class Query
 {
 public:
@@ -187,6 +190,8 @@
     bool mCovered = false;
     /// False after an end that makes no sense to retry.
     bool mMayRetry = true;
+    /// The only try failed for a reason other than load.
+    bool mMayForce = true;
     /// When a hedge is due; empty: none.
     std::optional<TimePoint> mHedgeAt;
     /// Why the shard has not answered.
@@ -207,7 +212,7 @@
   bool TryReplan(TimePoint aNow, Actions& aActions);
   void Send(const ShardId& aShard, ShardState& aState, SubKind aKind, std::string aWhy,
             ReplicaChoice aChoice, TimePoint aNow, Actions& aActions);
-  ReplicaChoice Choose(const ShardId& aShard, const ShardState& aState, bool aExtra,
+  ReplicaChoice Choose(const ShardId& aShard, const ShardState& aState, bool aHedge,
                        TimePoint aNow) const;
   void Settle(const SubReply& aReply, ExplainSub& aSub, TimePoint aNow,
               Actions& aActions);
--- a/include/wasabispar/upstream/replica_choice.hpp
+++ b/include/wasabispar/upstream/replica_choice.hpp
@@ -45,9 +45,9 @@
   ShardId mShard;
   /// Replicas that this query has tried for this shard.
   std::vector<UpstreamId> mTried;
-  /// A hedge or retry never goes to a replica at its slot limit. A first try may: it
-  /// waits there for a connection.
-  bool mExtra = false;
+  /// A hedge never goes to a replica at its slot limit. A first try or a retry may: it
+  /// waits there for a connection, because the shard would be missing otherwise.
+  bool mHedge = false;
   /// The request is suspected of crashing upstreams and needs an idle replica; see
   /// UpstreamTable::TryIsolate().
   bool mIsolated = false;
--- a/include/wasabispar/upstream/upstream_table.hpp
+++ b/include/wasabispar/upstream/upstream_table.hpp
@@ -117,10 +117,14 @@
 class UpstreamTable
 {
 public:
+  /// A p95 of fewer samples than this is mostly chance.
+  static constexpr std::uint64_t kMinGroupSamples = 20;
+
   explicit UpstreamTable(UpstreamTableOptions aOptions = {});
   ~UpstreamTable();
 
-  /// @brief Adds or updates an upstream. Returns whether it became leaving by this, so
+  /// @brief Adds or updates an upstream. One that is declared later than the first list
+  /// starts slowly. Returns whether it became leaving by this, so
   /// that the caller can publish the fact; so do the other events that return bool.
   bool OnDeclared(const UpstreamDeclaration& aDeclaration, TimePoint aNow);
   /// @brief The platform's list no longer has the upstream.
@@ -152,16 +156,16 @@
   std::vector<UpstreamView> OfIndex(const IndexName& aIndex, TimePoint aNow) const;
   /// @brief All upstreams, ordered by id.
   std::vector<UpstreamView> All(TimePoint aNow) const;
-  /// @brief Latency quantile over all upstreams of the index; empty without samples.
-  /// Cancelled exchanges count with the time until they were given up, so that hedging
-  /// does not lower the estimate.
+  /// @brief Latency quantile over all upstreams of the index; empty with fewer than
+  /// kMinGroupSamples samples in the observation window. Cancelled exchanges count with
+  /// the time until they were given up, so that hedging does not lower the estimate.
   std::optional<Duration> GroupLatency(const IndexName& aIndex, Permille aQuantile,
                                        TimePoint aNow) const;
   /// @brief Latency quantile of one upstream; empty without samples.
   std::optional<Duration> Latency(const UpstreamId& aUpstream, Permille aQuantile,
                                   TimePoint aNow) const;
-  /// @brief Changes whenever versions, leaving, suspect or the set of upstreams change, or
-  /// an upstream answers after a silence.
+  /// @brief Changes whenever versions, leaving, suspect or the set of upstreams change,
+  /// or an upstream answers after a silence.
   std::uint64_t Generation() const;
 
 private:
@@ -183,6 +187,8 @@
   UpstreamTableOptions mOptions;
   std::array<std::unique_ptr<Shard>, kShards> mShards;
   std::atomic<std::uint64_t> mGeneration{ 1 };
+  /// When the first upstream was declared; TimePoint::min() before.
+  std::atomic<TimePoint> mFirstDeclared{ TimePoint::min() };
 };
 
 } // namespace wasabispar
--- a/src/wasabispar/query/explain.cpp
+++ b/src/wasabispar/query/explain.cpp
@@ -12,8 +12,8 @@
 
 constexpr std::array<std::string_view, 4> kKinds{ "first", "hedge", "retry",
                                                   "forced-retry" };
-constexpr std::array<std::string_view, 5> kFates{ "open", "counted", "failed", "mismatch",
-                                                  "cancelled" };
+constexpr std::array<std::string_view, 6> kFates{ "open",     "counted",   "failed",
+                                                  "mismatch", "cancelled", "discarded" };
 
 void
 WriteTime(std::ostream& aOut, TimePoint aStart, TimePoint aAt)
--- a/src/wasabispar/query/load_budget.cpp
+++ b/src/wasabispar/query/load_budget.cpp
@@ -21,7 +21,6 @@
 
 LoadBudget::LoadBudget(LoadBudgetOptions aOptions)
   : mOptions(aOptions)
-  , mTokens(kToken * aOptions.mBurst)
 {
 }
 
@@ -66,6 +65,19 @@
   mTokens = std::max(mTokens - kToken * static_cast<std::int64_t>(aCount), floor);
 }
 
+bool
+LoadBudget::TryTakeForced(TimePoint aNow)
+{
+  {
+    const std::lock_guard lock(mMutex);
+    if (aNow < mShedUntil) {
+      return false;
+    }
+  }
+  TakeForced(1);
+  return true;
+}
+
 void
 LoadBudget::OnShed(TimePoint aNow)
 {
--- a/src/wasabispar/query/query.cpp
+++ b/src/wasabispar/query/query.cpp
@@ -209,17 +209,17 @@
 Query::TryRetry(const ShardId& aShard, ShardState& aState, TimePoint aNow,
                 Actions& aActions)
 {
-  auto choice = Choose(aShard, aState, true, aNow);
+  auto choice = Choose(aShard, aState, false, aNow);
   if (!choice.mUpstream) {
     return;
   }
   auto kind = SubKind::Retry;
   if (!mHooks.mTakeBudget(ExtraLoad::Retry, aNow)) {
-    if (aState.mTried.size() > 1) {
+    const bool first = aState.mTried.size() == 1 && aState.mMayForce;
+    if (!first || !mHooks.mTakeForced(aNow)) {
       return;
     }
     kind = SubKind::ForcedRetry;
-    mHooks.mCountForced(1);
   }
   ++aState.mRetries;
   Send(aShard, aState, kind, aState.mWhy, std::move(choice), aNow, aActions);
@@ -234,7 +234,7 @@
   }
   auto choice = Choose(aShard, aState, true, aNow);
   if (!choice.mUpstream || !mHooks.mTakeBudget(ExtraLoad::Hedge, aNow)) {
-    aState.mHedgeAt = aNow + *mHedgeDelay;
+    aState.mHedgeAt = aNow + std::max(*mHedgeDelay, kRecheck);
     return;
   }
   aState.mHedged = true;
@@ -260,6 +260,9 @@
   for (auto& [shard, state] : mShards) {
     CancelOpen(state, aNow, aActions);
   }
+  for (auto& sub : mExplain.mSubs) {
+    sub.mFate = sub.mFate == SubFate::Counted ? SubFate::Discarded : sub.mFate;
+  }
   ++mReplans;
   mPlan.mSnapshot = std::move(*snapshot);
   BeginVersion(aNow, aActions);
@@ -290,7 +293,7 @@
 }
 
 ReplicaChoice
-Query::Choose(const ShardId& aShard, const ShardState& aState, bool aExtra,
+Query::Choose(const ShardId& aShard, const ShardState& aState, bool aHedge,
               TimePoint aNow) const
 {
   ReplicaRequest request;
@@ -298,7 +301,7 @@
   request.mVersion = mPlan.mSnapshot.mVersion;
   request.mShard = aShard;
   request.mTried = aState.mTried;
-  request.mExtra = aExtra;
+  request.mHedge = aHedge;
   request.mIsolated = mPlan.mIsolated;
   return mHooks.mChooseReplica(request, aNow);
 }
@@ -324,6 +327,7 @@
                  ? "answered version " + std::to_string(aReply.mVersion.Value()) +
                      " shard " + aReply.mShard.Text() + " by " + aSub.mUpstream.Text()
                  : By(aReply.mStatus, aSub.mUpstream);
+  state.mMayForce = aReply.mStatus != ExchangeStatus::Shed;
   if (!mismatch && !IsRetryable(aReply.mStatus, mPlan.mIdempotent)) {
     state.mMayRetry = false;
   }
@@ -455,13 +459,15 @@
     Earlier(next, mReplanAt);
   }
   bool idle = false;
+  bool open = false;
   for (const auto& [shard, state] : mShards) {
     idle = idle || (!state.mCovered && state.mOpen.empty() && MayStillAnswer(state));
+    open = open || !state.mOpen.empty();
     if (MayHedge(state)) {
       Earlier(next, *state.mHedgeAt);
     }
   }
-  if (idle && !mRecheckAt) {
+  if (idle && !mRecheckAt && !(open && mPlan.mIsolated)) {
     mRecheckAt = aNow + kRecheck;
   }
   if (mRecheckAt) {
--- a/src/wasabispar/query/query_hooks.cpp
+++ b/src/wasabispar/query/query_hooks.cpp
@@ -17,6 +17,7 @@
   };
   hooks.mTakeBudget = [](ExtraLoad, TimePoint) { return false; };
   hooks.mCountNeeded = [](std::uint64_t) {};
+  hooks.mTakeForced = [](TimePoint) { return false; };
   hooks.mCountForced = [](std::uint64_t) {};
   hooks.mChooseSnapshot = [](const IndexName&, Permille, TimePoint) {
     return std::optional<Snapshot>();
@@ -40,6 +41,7 @@
     return aBudget.TryTake(aKind, aNow);
   };
   hooks.mCountNeeded = [&aBudget](std::uint64_t aCount) { aBudget.OnNeeded(aCount); };
+  hooks.mTakeForced = [&aBudget](TimePoint aNow) { return aBudget.TryTakeForced(aNow); };
   hooks.mCountForced = [&aBudget](std::uint64_t aCount) { aBudget.TakeForced(aCount); };
   hooks.mChooseSnapshot = [&aDirectory](const IndexName& aIndex, Permille aWanted,
                                         TimePoint aNow) {
--- a/src/wasabispar/query/query_test.cpp
+++ b/src/wasabispar/query/query_test.cpp
@@ -172,7 +172,8 @@
       RC_ASSERT(aSend.mKind != SubKind::Hedge || sent->mSend.mKind != SubKind::Hedge);
     }
     RC_ASSERT((aSend.mKind == SubKind::First) == tries.empty());
-    RC_ASSERT(aSend.mKind != SubKind::ForcedRetry || tries.size() == 1);
+    RC_ASSERT(aSend.mKind != SubKind::ForcedRetry ||
+              (tries.size() == 1 && tries[0]->mReply->mStatus != ExchangeStatus::Shed));
     RC_ASSERT(!mPlan.mIsolated || aSend.mKind == SubKind::First);
     RC_ASSERT(mSent.emplace(aSend.mSub, Sent{ aSend, true, {} }).second);
     for (const auto& [id, sent] : mSent) {
@@ -305,6 +306,7 @@
     oracle.mTokens += granted ? 1 : 0;
     return granted;
   };
+  hooks.mTakeForced = [&](TimePoint) { return choices.Below(8) != 0; };
   hooks.mChooseSnapshot = [&](const IndexName&, Permille, TimePoint) { return offered; };
   hooks.mChooseReplica = [&](const ReplicaRequest& aRequest, TimePoint) {
     ReplicaChoice choice;
--- a/src/wasabispar/upstream/replica_choice.cpp
+++ b/src/wasabispar/upstream/replica_choice.cpp
@@ -45,7 +45,7 @@
   if (aRequest.mIsolated && aView.mInFlight > 0) {
     return SkipReason::NotIdle;
   }
-  if (aRequest.mExtra && aView.mInFlight >= aView.mSlotLimit) {
+  if (aRequest.mHedge && aView.mInFlight >= aView.mSlotLimit) {
     return SkipReason::AtSlotLimit;
   }
   return std::nullopt;
--- a/src/wasabispar/upstream/upstream_table.cpp
+++ b/src/wasabispar/upstream/upstream_table.cpp
@@ -13,6 +13,9 @@
 /// within some ten exchanges and damps single stragglers.
 constexpr int kMeanWeight = 8;
 
+/// Upstreams declared within this time of the first one belong to the first list.
+constexpr Duration kFirstList = std::chrono::seconds(1);
+
 /// A reply after a longer silence counts as a change, so that cached views see at once
 /// that the upstream answers again. Shorter than any limit for a recent reply.
 constexpr Duration kSilence = std::chrono::seconds(1);
@@ -102,7 +105,15 @@
   auto& entry = found->second;
   entry.mDeclaration = aDeclaration;
   if (added) {
-    entry.mWarmSince = aNow;
+    auto first = mFirstDeclared.load();
+    if (first == TimePoint::min() &&
+        mFirstDeclared.compare_exchange_strong(first, aNow)) {
+      first = aNow;
+    }
+    // The upstreams of the first list are new to this VM only, and all VMs of a data
+    // centre do not start at the same time.
+    const bool isNew = aNow - first > kFirstList;
+    entry.mWarmSince = isNew ? aNow : aNow - mOptions.mSlowStart;
     Changed();
   }
   return aDeclaration.mLeaving && MarkLeaving(entry, aNow);
@@ -407,7 +418,8 @@
       merged.Merge(found->second, aNow);
     }
   }
-  return merged.Quantile(aQuantile, aNow);
+  return merged.Count(aNow) >= kMinGroupSamples ? merged.Quantile(aQuantile, aNow)
+                                                : std::nullopt;
 }
 
 std::optional<Duration>
--- a/src/wasabispar/upstream/upstream_table_test.cpp
+++ b/src/wasabispar/upstream/upstream_table_test.cpp
@@ -167,7 +167,7 @@
   ReplicaRequest tried;
   tried.mTried = { kUp };
   CHECK(Choose(tried).mUpstream == other);
-  tried.mExtra = true;
+  tried.mHedge = true;
   for (int i = 0; i < 20; ++i) {
     mTable.OnExchangeStarted(other, mNow);
   }
@@ -204,3 +204,24 @@
   }
   CHECK(inFlight == 4000);
 }
+
+TEST_CASE_FIXTURE(Fixture, "an upstream that is added later starts slowly")
+{
+  // Guards against a cold upstream that gets its full share at once.
+  CHECK(mTable.Find(kUp, mNow)->mWarmth == Permille(1000));
+  mNow += 2s;
+  Add(UpstreamId("u2"));
+  CHECK(mTable.Find(UpstreamId("u2"), mNow)->mWarmth == Permille(100));
+  int cold = 0;
+  RandomFn random = SeededRandom(1);
+  for (int i = 0; i < 100; ++i) {
+    ReplicaRequest request;
+    request.mVersion = kVersion;
+    request.mShard = kShard;
+    const auto choice = ChooseReplica(mTable.All(mNow), request, random);
+    mTable.OnExchangeStarted(*choice.mUpstream, mNow);
+    cold += choice.mUpstream == UpstreamId("u2") ? 1 : 0;
+  }
+  CHECK(cold >= 3);
+  CHECK(cold <= 20);
+}
