Test the execution layer against the naive rule and the table of outcomes

A fleet of three routers and ledgers runs random traces of resends, forwards, lost replies, restarts, pauses and expiry; each decision is compared with the rule "run unless in the set of executed tickets". Each row of the table is walked, and docs/callers/outcomes.md is compared with the table.

--- a/include/wasabispar/execution/end_condition.hpp
+++ b/include/wasabispar/execution/end_condition.hpp
@@ -112,9 +112,9 @@
   EndCondition mEnd = EndCondition::BadRequest;
   AnswerScope mScope = AnswerScope::Request;
   /// Id or address of the other side; empty when there is none.
-  std::string mPeer;
+  std::string mPeer = {};
   /// Body of the upstream's reply; empty on refusal.
-  std::string mBody;
+  std::string mBody = {};
 
   Outcome Result() const { return RowOf(mEnd).mOutcome; }
   unsigned Status() const { return RowOf(mEnd).mStatus; }
--- a/include/wasabispar/execution/execution_router.hpp
+++ b/include/wasabispar/execution/execution_router.hpp
@@ -32,7 +32,7 @@
 /// @brief Answers from the membership view. Called without a lock of this layer held.
 using IssuerStateFn = std::function<IssuerState(const TicketIssuer&)>;
 
-/// @brief A request for an execution that passed parsing and the checks of its profile.
+/// @brief A request for an execution that was parsed.
 struct ExecutionRequest
 {
   ProfileName mProfile;
@@ -114,7 +114,8 @@
 /// but the ledger's and the quarantine's.
 ///
 /// A request with a ticket reaches the ledger before admission and quarantine, so that
-/// the resend of a request that ran is replayed and never refused as `not-run`.
+/// the resend of a request that ran is replayed and never refused as `not-run`. For the
+/// same reason its profile is checked after Route(), with EndRun() on a refusal.
 class ExecutionRouter
 {
 public:
@@ -130,7 +131,8 @@
   /// ExecutionLedger::MayStillSend().
   bool MayStillSend(ExecutionRun& aRun, TimePoint aNow);
 
-  /// @brief Ends a run that was not sent: shed, queue deadline, deadline, shutdown.
+  /// @brief Ends a run without an exchange: profile refused, shed, queue deadline,
+  /// deadline, shutdown.
   ExecutionAnswer EndRun(const ExecutionRun& aRun, EndCondition aEnd, TimePoint aNow);
 
   /// @brief Ends a run with the end of its exchange.
@@ -144,6 +146,9 @@
   ExecutionAnswer EndForward(ForwardEnd aEnd, const TicketIssuer& aIssuer,
                              ExecutionAnswer aReply) const;
 
+  /// @brief The answer to a request whose Wait has not ended by its deadline.
+  ExecutionAnswer EndWait() const;
+
 private:
   RouteDecision RouteForeign(const ExecutionRequest& aRequest, TimePoint aNow) const;
   RouteDecision RouteOwn(const ExecutionRequest& aRequest, const Ticket& aTicket,
--- /dev/null
+++ b/src/wasabispar/execution/execution_faults_test.cpp
@@ -0,0 +1,374 @@
+/// @file
+/// @brief Differential test: a fleet of routers and ledgers under faults against the
+/// naive rule "a ticket runs unless it is in the set of executed tickets", and against
+/// what the upstream saw.
+#include "wasabispar/execution/execution_router.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <memory>
+#include <set>
+
+using namespace wasabispar;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t kVms = 3;
+constexpr Duration kLifetime = 10s;
+
+struct Vm
+{
+  TicketIssuer mIssuer;
+  std::unique_ptr<ExecutionLedger> mLedger;
+  std::unique_ptr<Quarantine> mQuarantine;
+  std::unique_ptr<ExecutionRouter> mRouter;
+};
+
+struct Issued
+{
+  std::string mText;
+  TicketIssuer mIssuer;
+  std::size_t mVm = 0;
+  TimePoint mExpiry;
+};
+
+struct Arrival
+{
+  std::size_t mTicket = 0;
+  RequestFingerprint mBody;
+  TimePoint mDeadline;
+};
+
+/// A run that the ledger permitted and that has not ended.
+struct Running
+{
+  std::size_t mVm = 0;
+  std::size_t mArrival = 0;
+  ExecutionRun mRun;
+  UpstreamEnd mEnd = UpstreamEnd::ConnectFailed;
+  unsigned mStatus = 0;
+};
+
+struct Forwarded
+{
+  std::size_t mArrival = 0;
+  TicketIssuer mIssuer;
+};
+
+/// What is true, as only the test knows.
+struct Truth
+{
+  int mExecutions = 0;
+  std::string mReply;
+  /// An expired ticket was answered: it must not execute any more.
+  bool mIsOver = false;
+};
+
+class Fleet
+{
+public:
+  Fleet()
+  {
+    for (std::size_t vm = 0; vm < kVms; ++vm) {
+      Restart(vm);
+    }
+  }
+
+  void Step(std::uint32_t aWord)
+  {
+    const auto kind = aWord % 16;
+    mRest = aWord / 16;
+    switch (kind) {
+      case 0:
+      case 1:
+        return IssueTicket(Draw(kVms));
+      case 2:
+      case 3:
+      case 4:
+      case 5:
+        return SendRequest();
+      case 6:
+      case 7:
+        return DeliverForward();
+      case 8:
+      case 9:
+      case 10:
+        return SendUpstream();
+      case 11:
+      case 12:
+        return EndExchange();
+      case 13:
+        mNow += Draw(8) == 0 ? 11s : 300ms;
+        return;
+      case 14:
+        mVms[Draw(kVms)].mLedger->Sweep(mNow);
+        return;
+      default:
+        if (Draw(8) == 0) {
+          Restart(Draw(kVms));
+        }
+    }
+  }
+
+private:
+  std::size_t Draw(std::size_t aBound)
+  {
+    const auto value = mRest % aBound;
+    mRest /= static_cast<std::uint32_t>(aBound);
+    return value;
+  }
+
+  void Restart(std::size_t aVm)
+  {
+    auto& vm = mVms[aVm];
+    std::erase_if(mRunning, [&](const Running& aRun) { return aRun.mVm == aVm; });
+    vm.mIssuer = { VmId("vm-" + std::to_string(aVm)), Incarnation(++mIncarnation) };
+    ExecutionLedgerOptions options;
+    options.mTicketLifetime = kLifetime;
+    options.mMaxWaiters = 3;
+    options.mShards = 2;
+    vm.mLedger =
+      std::make_unique<ExecutionLedger>(vm.mIssuer, NewTicketSecret(), options);
+    vm.mQuarantine = std::make_unique<Quarantine>();
+    // The view lags: it says alive for each issuer, also for one that has restarted.
+    vm.mRouter = std::make_unique<ExecutionRouter>(
+      *vm.mLedger, *vm.mQuarantine,
+      [](const TicketIssuer&) { return IssuerState::Alive; });
+  }
+
+  void IssueTicket(std::size_t aVm)
+  {
+    const auto issued =
+      mVms[aVm].mLedger->Issue(ProfileName("invoice"), CallerId("house"), mNow);
+    RC_ASSERT(issued.IsIssued());
+    mTickets.push_back({ issued.mTicket, mVms[aVm].mIssuer, aVm, mNow + kLifetime });
+  }
+
+  void SendRequest()
+  {
+    if (mTickets.empty()) {
+      return;
+    }
+    // Prefers young tickets, so that most requests meet a ticket that is in use.
+    const auto ticket =
+      mTickets.size() - 1 - Draw(std::min<std::size_t>(4, mTickets.size()));
+    const auto isOtherBody = Draw(16) == 0;
+    mArrivals.push_back({ ticket, RequestFingerprint(ticket * 2 + (isOtherBody ? 1 : 0)),
+                          mNow + (Draw(4) == 0 ? 200ms : 5s) });
+    // Half of the requests go to the issuer's VM, the others anywhere.
+    const auto vm = Draw(2) == 0 ? mTickets[ticket].mVm : Draw(kVms);
+    Route(vm, mArrivals.size() - 1, false);
+  }
+
+  void Route(std::size_t aVm, std::size_t aArrival, bool aIsForwarded)
+  {
+    const auto& arrival = mArrivals[aArrival];
+    const auto& ticket = mTickets[arrival.mTicket];
+    const ExecutionRequest request{ ProfileName("invoice"), CallerId("house"),
+                                    ticket.mText,           arrival.mBody,
+                                    arrival.mDeadline,      aIsForwarded };
+    auto decision =
+      mVms[aVm].mRouter->Route(request, mNow, [this, aArrival](const ExecutionAnswer& a) {
+        OnAnswer(aArrival, a);
+      });
+    CheckAgainstNaive(aVm, arrival, decision);
+    if (decision.mAction == RouteAction::Run) {
+      mBodies.try_emplace(arrival.mTicket, arrival.mBody);
+      mRunning.push_back({ aVm, aArrival, decision.mRun });
+    } else if (decision.mAction == RouteAction::Forward) {
+      RC_ASSERT(!aIsForwarded);
+      mForwards.push_back({ aArrival, decision.mIssuer });
+    } else if (decision.mAction == RouteAction::Answer) {
+      OnAnswer(aArrival, decision.mAnswer);
+    }
+  }
+
+  /// The naive rule, where it applies: at the issuer, before expiry and deadline, with
+  /// the first body.
+  void CheckAgainstNaive(std::size_t aVm, const Arrival& aArrival,
+                         const RouteDecision& aDecision)
+  {
+    const auto& ticket = mTickets[aArrival.mTicket];
+    const auto body = mBodies.find(aArrival.mTicket);
+    if (mVms[aVm].mIssuer != ticket.mIssuer || mNow >= ticket.mExpiry ||
+        mNow >= aArrival.mDeadline ||
+        (body != mBodies.end() && body->second != aArrival.mBody)) {
+      RC_ASSERT(aDecision.mAction != RouteAction::Run);
+      return;
+    }
+    const auto isRunning = std::ranges::any_of(mRunning, [&](const Running& aRun) {
+      return mArrivals[aRun.mArrival].mTicket == aArrival.mTicket;
+    });
+    if (mSettled.contains(aArrival.mTicket)) {
+      RC_ASSERT(aDecision.mAction == RouteAction::Answer);
+      RC_ASSERT(aDecision.mAnswer.Result() != Outcome::NotRun);
+    } else if (isRunning) {
+      RC_ASSERT(aDecision.mAction == RouteAction::Wait ||
+                aDecision.mAnswer.mEnd == EndCondition::TooManyWaiters);
+    } else {
+      RC_ASSERT(aDecision.mAction == RouteAction::Run);
+    }
+  }
+
+  void DeliverForward()
+  {
+    if (mForwards.empty()) {
+      return;
+    }
+    const auto index = Draw(mForwards.size());
+    const auto forward = mForwards[index];
+    mForwards.erase(mForwards.begin() + static_cast<std::ptrdiff_t>(index));
+    const auto fate = Draw(8);
+    if (fate == 0) {
+      OnAnswer(forward.mArrival, mVms[0].mRouter->EndForward(ForwardEnd::NotHandedOver,
+                                                             forward.mIssuer, {}));
+      return;
+    }
+    if (fate == 1) {
+      // The reply is lost; the message arrives.
+      OnAnswer(forward.mArrival,
+               mVms[0].mRouter->EndForward(ForwardEnd::NoReply, forward.mIssuer, {}));
+    }
+    for (std::size_t vm = 0; vm < kVms; ++vm) {
+      if (mVms[vm].mIssuer.mVm == forward.mIssuer.mVm) {
+        Route(vm, forward.mArrival, true);
+      }
+    }
+  }
+
+  Running* PickRunning(bool aIsSent)
+  {
+    std::vector<Running*> candidates;
+    for (auto& running : mRunning) {
+      if (running.mRun.mIsSent == aIsSent) {
+        candidates.push_back(&running);
+      }
+    }
+    return candidates.empty() ? nullptr : candidates[Draw(candidates.size())];
+  }
+
+  void SendUpstream()
+  {
+    auto* running = PickRunning(false);
+    if (running == nullptr) {
+      return;
+    }
+    if (Draw(8) == 0) {
+      return End(*running, UpstreamEnd::ConnectFailed, 0);
+    }
+    // The thread was stopped between reading the clock and the check.
+    const auto read = Draw(4) == 0 ? mNow - 3s : mNow;
+    auto& vm = mVms[running->mVm];
+    if (!vm.mRouter->MayStillSend(running->mRun, read)) {
+      const auto arrival = running->mArrival;
+      const auto answer =
+        vm.mRouter->EndRun(running->mRun, EndCondition::DeadlineBeforeSend, mNow);
+      Drop(*running);
+      return OnAnswer(arrival, answer);
+    }
+    RC_ASSERT(read < mArrivals[running->mArrival].mDeadline);
+    Exchange(*running, Draw(8));
+  }
+
+  /// The upstream's side: whether it runs, and what the connection will see.
+  void Exchange(Running& aRunning, std::size_t aFate)
+  {
+    static constexpr std::array kStatuses{ 200U, 200U, 500U, 429U, 503U, 504U, 200U, 0U };
+    aRunning.mStatus = kStatuses[aFate];
+    aRunning.mEnd = aFate < 6 ? UpstreamEnd::Response : UpstreamEnd::ConnectionLost;
+    if (aRunning.mStatus == 200 || aRunning.mStatus == 500) {
+      const auto ticket = mArrivals[aRunning.mArrival].mTicket;
+      auto& truth = mTruth[ticket];
+      RC_ASSERT(++truth.mExecutions == 1);
+      RC_ASSERT(!truth.mIsOver);
+      RC_ASSERT(!mRefused.contains(aRunning.mArrival));
+      truth.mReply = "reply-" + std::to_string(mReplies++);
+    }
+  }
+
+  void EndExchange()
+  {
+    if (auto* running = PickRunning(true)) {
+      End(*running, running->mEnd, running->mStatus);
+    }
+  }
+
+  void End(Running& aRunning, UpstreamEnd aEnd, unsigned aStatus)
+  {
+    const auto arrival = aRunning.mArrival;
+    const auto ticket = mArrivals[arrival].mTicket;
+    const auto vm = aRunning.mVm;
+    const auto run = aRunning.mRun;
+    Drop(aRunning);
+    if (EndOfUpstreamStatus(aStatus) == EndCondition::UpstreamAnswered ||
+        aEnd == UpstreamEnd::ConnectionLost || aStatus == 500) {
+      mSettled.insert(ticket);
+    }
+    const auto answer = mVms[vm].mRouter->EndExchange(
+      run, aEnd, aStatus, mTruth[ticket].mReply, "upstream-1", mNow);
+    OnAnswer(arrival, answer);
+  }
+
+  void Drop(Running& aRunning)
+  {
+    mRunning.erase(mRunning.begin() + (&aRunning - mRunning.data()));
+  }
+
+  /// An answer exists; the caller may have got another one before, when the reply of
+  /// a forward was lost.
+  void OnAnswer(std::size_t aArrival, const ExecutionAnswer& aAnswer)
+  {
+    const auto& arrival = mArrivals[aArrival];
+    auto& truth = mTruth[arrival.mTicket];
+    const auto outcome = aAnswer.Result();
+    if (outcome == Outcome::NotRun) {
+      mRefused.insert(aArrival);
+      RC_ASSERT(aAnswer.mScope == AnswerScope::Request || truth.mExecutions == 0);
+    } else if (outcome == Outcome::Ran) {
+      RC_ASSERT(truth.mExecutions == 1);
+      RC_ASSERT(aAnswer.mBody == truth.mReply);
+    }
+    if (aAnswer.mEnd == EndCondition::TicketExpired ||
+        aAnswer.mEnd == EndCondition::TicketExpiredUnused) {
+      truth.mIsOver = true;
+    }
+  }
+
+  std::uint32_t mRest = 0;
+  std::uint64_t mIncarnation = 0;
+  int mReplies = 0;
+  TimePoint mNow{ 100s };
+  std::array<Vm, kVms> mVms;
+  std::vector<Issued> mTickets;
+  std::vector<Arrival> mArrivals;
+  std::vector<Running> mRunning;
+  std::vector<Forwarded> mForwards;
+  std::map<std::size_t, Truth> mTruth;
+  std::map<std::size_t, RequestFingerprint> mBodies;
+  /// The naive set: tickets that executed or may have.
+  std::set<std::size_t> mSettled;
+  /// Requests that were answered `not-run`.
+  std::set<std::size_t> mRefused;
+};
+
+} // namespace
+
+TEST_CASE("no ticket runs twice under resends, restarts, pauses, lost replies and expiry")
+{
+  // Guards against a second invoice, a replay that differs, `not-run` for what ran, and
+  // a run after an expired ticket was answered.
+  CHECK(rc::check([] {
+    const auto words = *rc::gen::resize(
+      600, rc::gen::container<std::vector<std::uint32_t>>(
+             rc::gen::resize(100, rc::gen::inRange<std::uint32_t>(0, 1U << 31U))));
+    Fleet fleet;
+    for (const auto word : words) {
+      fleet.Step(word);
+    }
+  }));
+}
--- a/src/wasabispar/execution/execution_router.cpp
+++ b/src/wasabispar/execution/execution_router.cpp
@@ -214,4 +214,10 @@
   return AnswerOf(EndCondition::ForwardReplyInvalid, vm);
 }
 
+ExecutionAnswer
+ExecutionRouter::EndWait() const
+{
+  return { EndCondition::WaitTimedOut, AnswerScope::Ticket, {}, {} };
+}
+
 } // namespace wasabispar
--- /dev/null
+++ b/src/wasabispar/execution/execution_router_test.cpp
@@ -0,0 +1,312 @@
+/// @file
+/// @brief Walks each row of the table of end conditions through router and ledger.
+#include "wasabispar/execution/execution_router.hpp"
+
+#include <doctest/doctest.h>
+
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <map>
+#include <sstream>
+
+using namespace wasabispar;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint kNow{ 100s };
+const RequestFingerprint kBody(5);
+
+ExecutionLedgerOptions
+SmallOptions()
+{
+  ExecutionLedgerOptions options;
+  options.mMaxTickets = 3;
+  options.mMaxTicketsPerCaller = 2;
+  options.mMaxReplyBytes = 4;
+  options.mMaxWaiters = 0;
+  return options;
+}
+
+/// One VM with a router.
+struct Vm
+{
+  explicit Vm(std::uint64_t aIncarnation = 1, std::string aName = "vm-1")
+    : mLedger({ VmId(std::move(aName)), Incarnation(aIncarnation) }, NewTicketSecret(),
+              SmallOptions())
+    , mRouter(mLedger, mQuarantine, [this](const TicketIssuer&) { return mIssuerState; })
+  {
+  }
+
+  std::string Issue(const std::string& aCaller = "house")
+  {
+    return mLedger.Issue(ProfileName("hold"), CallerId(aCaller), kNow).mTicket;
+  }
+
+  RouteDecision Route(std::optional<std::string> aTicket, TimePoint aNow = kNow,
+                      RequestFingerprint aBody = kBody)
+  {
+    const ExecutionRequest request{ ProfileName("hold"), CallerId("house"),
+                                    std::move(aTicket),  aBody,
+                                    aNow + 1s,           mIsForwarded };
+    return mRouter.Route(request, aNow, nullptr);
+  }
+
+  /// The answer to a run that was sent and ended with @p aEnd.
+  ExecutionAnswer Exchange(UpstreamEnd aEnd, unsigned aStatus = 0)
+  {
+    auto run = Route(Issue()).mRun;
+    if (aEnd != UpstreamEnd::ConnectFailed && aEnd != UpstreamEnd::NoneReachable) {
+      CHECK(mRouter.MayStillSend(run, kNow));
+    }
+    return mRouter.EndExchange(run, aEnd, aStatus, "body", "upstream-1", kNow);
+  }
+
+  ExecutionAnswer EndRun(EndCondition aEnd)
+  {
+    return mRouter.EndRun(Route(Issue()).mRun, aEnd, kNow);
+  }
+
+  ExecutionAnswer Foreign(IssuerState aState)
+  {
+    mIssuerState = aState;
+    return Route(Vm(1, "vm-2").Issue()).mAnswer;
+  }
+
+  ExecutionAnswer EndForward(ForwardEnd aEnd)
+  {
+    const auto decision = Route(Vm(1, "vm-2").Issue());
+    CHECK(decision.mAction == RouteAction::Forward);
+    return mRouter.EndForward(aEnd, decision.mIssuer, {});
+  }
+
+  ExecutionLedger mLedger;
+  Quarantine mQuarantine;
+  IssuerState mIssuerState = IssuerState::Alive;
+  bool mIsForwarded = false;
+  ExecutionRouter mRouter;
+};
+
+using Walk = std::function<ExecutionAnswer(Vm&)>;
+struct Expectation
+{
+  Outcome mOutcome;
+  Walk mWalk;
+};
+
+Expectation
+AfterRun(Outcome aOutcome, EndCondition aEnd)
+{
+  return { aOutcome, [aEnd](Vm& aVm) { return aVm.EndRun(aEnd); } };
+}
+
+Expectation
+Exchanged(Outcome aOutcome, UpstreamEnd aEnd, unsigned aStatus = 0)
+{
+  return { aOutcome, [=](Vm& aVm) { return aVm.Exchange(aEnd, aStatus); } };
+}
+
+ExecutionAnswer
+ReplayLarge(Vm& aVm)
+{
+  const auto ticket = aVm.Issue();
+  auto run = aVm.Route(ticket).mRun;
+  CHECK(aVm.mRouter.MayStillSend(run, kNow));
+  aVm.mRouter.EndExchange(run, UpstreamEnd::Response, 200, "too large", "", kNow);
+  return aVm.Route(ticket).mAnswer;
+}
+
+ExecutionAnswer
+RouteExpired(Vm& aVm, bool aIsForgotten)
+{
+  const auto ticket = aVm.Issue();
+  if (aIsForgotten) {
+    CHECK(aVm.mLedger.Sweep(kNow + 5min) == 1);
+  }
+  return aVm.Route(ticket, kNow + 5min).mAnswer;
+}
+
+ExecutionAnswer
+RouteAtLimit(Vm& aVm, int aHeld, const std::string& aCaller)
+{
+  for (int i = 0; i < aHeld; ++i) {
+    aVm.Issue(i == 2 ? "third" : "house");
+  }
+  const auto issued = aVm.mLedger.Issue(ProfileName("hold"), CallerId(aCaller), kNow);
+  CHECK_FALSE(issued.IsIssued());
+  return issued.mRefusal;
+}
+
+ExecutionAnswer
+RouteTwice(Vm& aVm, RequestFingerprint aSecondBody)
+{
+  const auto ticket = aVm.Issue();
+  CHECK(aVm.Route(ticket).mAction == RouteAction::Run);
+  return aVm.Route(ticket, kNow, aSecondBody).mAnswer;
+}
+
+ExecutionAnswer
+ShutdownSent(Vm& aVm)
+{
+  auto run = aVm.Route(aVm.Issue()).mRun;
+  CHECK(aVm.mRouter.MayStillSend(run, kNow));
+  CHECK(aVm.mLedger.Running().size() == 1);
+  return aVm.mLedger.Complete(aVm.mLedger.Running().front(),
+                              { EndCondition::ShutdownBeforeSend }, kNow);
+}
+
+/// Section 8 of the design page, written a second time by hand.
+std::map<EndCondition, Expectation>
+Expectations()
+{
+  using enum EndCondition;
+  const auto notRun = Outcome::NotRun;
+  const auto unknown = Outcome::OutcomeUnknown;
+  const auto ran = Outcome::Ran;
+  return {
+    { UpstreamAnswered, Exchanged(ran, UpstreamEnd::Response, 200) },
+    { UpstreamFailed, Exchanged(ran, UpstreamEnd::Response, 500) },
+    { ReplyNotRetained, { ran, ReplayLarge } },
+    { BadRequest,
+      { notRun,
+        [](Vm& aVm) {
+          return aVm.mLedger.Issue(ProfileName(std::string(200, 'x')), {}, kNow).mRefusal;
+        } } },
+    { UnknownProfile, AfterRun(notRun, UnknownProfile) },
+    { RetiredProfile, AfterRun(notRun, RetiredProfile) },
+    { CallerNotAllowed, AfterRun(notRun, CallerNotAllowed) },
+    { Shed, AfterRun(notRun, Shed) },
+    { QueueDeadline, AfterRun(notRun, QueueDeadline) },
+    { Quarantined,
+      { notRun,
+        [](Vm& aVm) {
+          aVm.mQuarantine.Add(kBody, kNow);
+          return aVm.Route(aVm.Issue()).mAnswer;
+        } } },
+    { NoUpstreamReachable, Exchanged(notRun, UpstreamEnd::NoneReachable) },
+    { ConnectFailed, Exchanged(notRun, UpstreamEnd::ConnectFailed) },
+    { DeadlineBeforeSend,
+      { notRun,
+        [](Vm& aVm) {
+          // SIGSTOP after Route(), SIGCONT after the deadline.
+          auto run = aVm.Route(aVm.Issue()).mRun;
+          CHECK_FALSE(aVm.mRouter.MayStillSend(run, kNow + 1s));
+          return aVm.mRouter.EndRun(run, DeadlineBeforeSend, kNow + 1s);
+        } } },
+    { UpstreamShed, Exchanged(notRun, UpstreamEnd::Response, 429) },
+    { UpstreamDraining, Exchanged(notRun, UpstreamEnd::Response, 503) },
+    { UpstreamDeadline, Exchanged(notRun, UpstreamEnd::Response, 504) },
+    { ConnectionLostAfterSend, Exchanged(unknown, UpstreamEnd::ConnectionLost) },
+    { TimedOutAfterSend, Exchanged(unknown, UpstreamEnd::TimedOut) },
+    { UpstreamReplyInvalid, Exchanged(unknown, UpstreamEnd::Response, 418) },
+    { TicketMalformed, { notRun, [](Vm& aVm) { return aVm.Route("x").mAnswer; } } },
+    { TicketOversized,
+      { notRun, [](Vm& aVm) { return aVm.Route(std::string(9999, 'A')).mAnswer; } } },
+    { TicketForged, { notRun, [](Vm& aVm) { return aVm.Route(Vm().Issue()).mAnswer; } } },
+    { TicketOfOther,
+      { notRun, [](Vm& aVm) { return aVm.Route(aVm.Issue("third")).mAnswer; } } },
+    { TicketBodyDiffers,
+      { notRun, [](Vm& aVm) { return RouteTwice(aVm, RequestFingerprint(6)); } } },
+    { TicketExpiredUnused, { notRun, [](Vm& aVm) { return RouteExpired(aVm, false); } } },
+    { TicketExpired, { unknown, [](Vm& aVm) { return RouteExpired(aVm, true); } } },
+    { TicketLimitOfCaller,
+      { notRun, [](Vm& aVm) { return RouteAtLimit(aVm, 2, "house"); } } },
+    { TicketLimit, { notRun, [](Vm& aVm) { return RouteAtLimit(aVm, 3, "fourth"); } } },
+    { TooManyWaiters, { unknown, [](Vm& aVm) { return RouteTwice(aVm, kBody); } } },
+    { WaitTimedOut, { unknown, [](Vm& aVm) { return aVm.mRouter.EndWait(); } } },
+    { IssuerDead, { unknown, [](Vm& aVm) { return aVm.Foreign(IssuerState::Dead); } } },
+    { IssuerReplaced,
+      { unknown,
+        [](Vm& aVm) {
+          const auto seen = aVm.Foreign(IssuerState::Replaced);
+          CHECK(seen == ExecutionAnswer{ IssuerReplaced, AnswerScope::Request, "vm-2" });
+          return aVm.Route(Vm(2).Issue()).mAnswer;
+        } } },
+    { IssuerUnreachable,
+      { unknown, [](Vm& aVm) { return aVm.Foreign(IssuerState::Unreachable); } } },
+    { IssuerUnknowing,
+      { unknown,
+        [](Vm& aVm) {
+          CHECK(aVm.EndForward(ForwardEnd::IssuerUnknowing).mEnd == IssuerUnknowing);
+          aVm.mIsForwarded = true;
+          return aVm.Route(Vm(1, "vm-2").Issue()).mAnswer;
+        } } },
+    { ForwardNotHandedOver,
+      { notRun, [](Vm& aVm) { return aVm.EndForward(ForwardEnd::NotHandedOver); } } },
+    { ForwardTimedOut,
+      { unknown, [](Vm& aVm) { return aVm.EndForward(ForwardEnd::NoReply); } } },
+    { ForwardReplyInvalid,
+      { unknown, [](Vm& aVm) { return aVm.EndForward(ForwardEnd::InvalidReply); } } },
+    { ShutdownBeforeSend, AfterRun(notRun, ShutdownBeforeSend) },
+    { ShutdownAfterSend, { unknown, ShutdownSent } },
+  };
+}
+
+} // namespace
+
+TEST_CASE("each row of the table is reached, with the outcome of the design page")
+{
+  // Guards against an end that is reported with the wrong outcome or not at all.
+  auto expectations = Expectations();
+  CHECK(expectations.size() == EndConditionTable().size());
+  for (const auto& row : EndConditionTable()) {
+    CAPTURE(row.mCause);
+    REQUIRE(expectations.contains(row.mEnd));
+    Vm vm;
+    const auto answer = expectations.at(row.mEnd).mWalk(vm);
+    CHECK(RowOf(answer.mEnd).mCause == row.mCause);
+    CHECK(answer.Result() == expectations.at(row.mEnd).mOutcome);
+    CHECK(answer.Status() == row.mStatus);
+    CHECK(answer.AsError().mStep == row.mStep);
+    CHECK((answer.Status() == 200) == (row.mEnd == EndCondition::UpstreamAnswered));
+  }
+}
+
+TEST_CASE("after a permitted send no end without word from the upstream is not-run")
+{
+  // Guards against `not-run` for a request of which a byte may have left.
+  for (const auto& row : EndConditionTable()) {
+    CAPTURE(row.mCause);
+    Vm vm;
+    auto withTicket = vm.Route(vm.Issue()).mRun;
+    auto without = vm.Route(std::nullopt).mRun;
+    for (auto* run : { &withTicket, &without }) {
+      CHECK_FALSE(vm.mRouter.MayStillSend(*run, kNow + 1s));
+      CHECK(vm.mRouter.MayStillSend(*run, kNow));
+      CHECK_FALSE(vm.mRouter.MayStillSend(*run, kNow));
+      const auto answer = vm.mRouter.EndRun(*run, row.mEnd, kNow);
+      CHECK((answer.Result() != Outcome::NotRun || row.mStep == Step::UpstreamReply));
+    }
+  }
+}
+
+TEST_CASE("the page for callers has the table of the code")
+{
+  auto root = std::filesystem::current_path();
+  while (!std::filesystem::exists(root / "docs/callers") && root != root.parent_path()) {
+    root = root.parent_path();
+  }
+  std::ifstream file(root / "docs/callers/outcomes.md");
+  REQUIRE(file);
+  std::stringstream text;
+  text << file.rdbuf();
+  CHECK_MESSAGE(text.str().find(EndConditionMarkdown()) != std::string::npos,
+                "expected table:\n", EndConditionMarkdown());
+}
+
+TEST_CASE("the quarantine is bounded, and a peer's fact holds for the period at most")
+{
+  // Guards against memory that a crashing client fills and against a lasting refusal.
+  Quarantine quarantine({ 10min, 2 });
+  quarantine.Apply({ RequestFingerprint(1), 24h }, kNow);
+  CHECK(quarantine.Check(RequestFingerprint(1), kNow + 9min));
+  CHECK_FALSE(quarantine.Check(RequestFingerprint(1), kNow + 10min));
+  quarantine.Apply({ RequestFingerprint(2), 1min }, kNow);
+  quarantine.Apply({ RequestFingerprint(1), 1min }, kNow);
+  quarantine.Add(RequestFingerprint(3), kNow);
+  CHECK(quarantine.Count() == 2);
+  CHECK_FALSE(quarantine.Check(RequestFingerprint(2), kNow));
+  CHECK(quarantine.Active(kNow).size() == 2);
+  CHECK(quarantine.Sweep(kNow + 10min) == 2);
+}
