--- a/tests/harness/cluster.hpp
+++ b/tests/harness/cluster.hpp
@@ -94,7 +94,8 @@
 
 private:
   boost::json::object VmList() const;
-  boost::json::object UpstreamEntry(const UpstreamProcess& aGroup, std::size_t aGroupNumber,
+  boost::json::object UpstreamEntry(const UpstreamProcess& aGroup,
+                                    std::size_t aGroupNumber,
                                     std::size_t aInstance) const;
 
   ClusterSpec mSpec;
--- a/tests/harness/standin_control.cpp
+++ b/tests/harness/standin_control.cpp
@@ -27,21 +27,38 @@
 UpstreamFlags(const UpstreamSpec& aSpec)
 {
   const auto text = [](auto aNumber) { return std::to_string(aNumber); };
-  return { "--name", aSpec.mName, "--index", aSpec.mIndex,
-           "--instances", text(aSpec.mInstances),
-           "--searchers", text(aSpec.mSearchers),
-           "--slots", text(aSpec.mSlots),
-           "--connection-limit", text(aSpec.mConnectionLimit),
-           "--connection-cost-ms", text(aSpec.mConnectionCostMs),
-           "--shards", text(aSpec.mShards),
-           "--replicas", text(aSpec.mReplicas),
-           "--version", text(aSpec.mVersion),
-           "--base-ms", text(aSpec.mBaseMs),
-           "--jitter-ms", text(aSpec.mJitterMs),
-           "--straggler-share", text(aSpec.mStragglerShare),
-           "--straggler-factor", text(aSpec.mStragglerFactor),
-           "--seed", text(aSpec.mSeed),
-           "--queue", text(aSpec.mQueue) };
+  return { "--name",
+           aSpec.mName,
+           "--index",
+           aSpec.mIndex,
+           "--instances",
+           text(aSpec.mInstances),
+           "--searchers",
+           text(aSpec.mSearchers),
+           "--slots",
+           text(aSpec.mSlots),
+           "--connection-limit",
+           text(aSpec.mConnectionLimit),
+           "--connection-cost-ms",
+           text(aSpec.mConnectionCostMs),
+           "--shards",
+           text(aSpec.mShards),
+           "--replicas",
+           text(aSpec.mReplicas),
+           "--version",
+           text(aSpec.mVersion),
+           "--base-ms",
+           text(aSpec.mBaseMs),
+           "--jitter-ms",
+           text(aSpec.mJitterMs),
+           "--straggler-share",
+           text(aSpec.mStragglerShare),
+           "--straggler-factor",
+           text(aSpec.mStragglerFactor),
+           "--seed",
+           text(aSpec.mSeed),
+           "--queue",
+           text(aSpec.mQueue) };
 }
 
 CallReply
@@ -51,8 +68,7 @@
   auto reply = Call(aEndpoint, aMethod, aTarget, aBody);
   if (reply.Code() != 200) {
     throw std::runtime_error(aTarget + " of a stand-in answered " +
-                             std::to_string(reply.Code()) + " " +
-                             reply.mResponse.mBody);
+                             std::to_string(reply.Code()) + " " + reply.mResponse.mBody);
   }
   return reply;
 }
--- a/tests/harness/tcp_relay.cpp
+++ b/tests/harness/tcp_relay.cpp
@@ -65,9 +65,8 @@
   void Copy(tcp::socket& aFrom, tcp::socket& aTo, Buffer& aBuffer)
   {
     aFrom.async_read_some(
-      asio::buffer(aBuffer),
-      [self = shared_from_this(), &aFrom, &aTo, &aBuffer](error_code aError,
-                                                          std::size_t aSize) {
+      asio::buffer(aBuffer), [self = shared_from_this(), &aFrom, &aTo,
+                              &aBuffer](error_code aError, std::size_t aSize) {
         if (self->mSilent) {
           self->mWaiting.push_back([self, &aFrom, &aTo, &aBuffer, aError, aSize] {
             self->Forward(aFrom, aTo, aBuffer, aError, aSize);
--- a/tests/standins/connection_server.cpp
+++ b/tests/standins/connection_server.cpp
@@ -130,15 +130,14 @@
     }
     mParser.emplace();
     mParser->body_limit(kMaxBodyBytes);
-    http::async_read(
-      mSocket, mBuffer, *mParser,
-      [self = shared_from_this()](error_code aError, std::size_t) {
-        if (aError) {
-          self->Close();
-        } else {
-          self->mServer->RunUnlessFrozen([self] { self->Handle(); });
-        }
-      });
+    http::async_read(mSocket, mBuffer, *mParser,
+                     [self = shared_from_this()](error_code aError, std::size_t) {
+                       if (aError) {
+                         self->Close();
+                       } else {
+                         self->mServer->RunUnlessFrozen([self] { self->Handle(); });
+                       }
+                     });
   }
 
   void Handle()
@@ -167,19 +166,19 @@
   /// Notices that the peer closed the connection while its request is processed.
   void WatchForClose(const std::shared_ptr<PendingExchange>& aExchange)
   {
-    mSocket.async_wait(tcp::socket::wait_read, [self = shared_from_this(),
-                                                aExchange](error_code aError) {
-      if (aError || self->mPending != aExchange) {
-        return;
-      }
-      char byte = 0;
-      error_code error;
-      self->mSocket.non_blocking(true, error);
-      self->mSocket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-      if (error && error != asio::error::would_block) {
-        self->Close();
-      }
-    });
+    mSocket.async_wait(
+      tcp::socket::wait_read, [self = shared_from_this(), aExchange](error_code aError) {
+        if (aError || self->mPending != aExchange) {
+          return;
+        }
+        char byte = 0;
+        error_code error;
+        self->mSocket.non_blocking(true, error);
+        self->mSocket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+        if (error && error != asio::error::would_block) {
+          self->Close();
+        }
+      });
   }
 
   void Close()
@@ -217,30 +216,30 @@
 void
 Connection::Write(HttpResponse aResponse)
 {
-  mServer->RunUnlessFrozen([self = shared_from_this(),
-                            response = std::move(aResponse)]() mutable {
-    if (!self->mSocket.is_open() || self->mSilent) {
-      return;
-    }
-    auto& message = self->mResponse;
-    message = {};
-    message.result(response.mStatus);
-    message.set(http::field::content_type, response.mContentType);
-    for (const auto& header : response.mHeaders) {
-      message.set(header.mName, header.mValue);
-    }
-    message.body() = std::move(response.mBody);
-    message.keep_alive(self->mKeepAlive && !response.mClose);
-    message.prepare_payload();
-    self->mPending.reset();
-    http::async_write(self->mSocket, message, [self](error_code aError, std::size_t) {
-      if (aError || !self->mResponse.keep_alive()) {
-        self->Close();
-      } else {
-        self->Read();
+  mServer->RunUnlessFrozen(
+    [self = shared_from_this(), response = std::move(aResponse)]() mutable {
+      if (!self->mSocket.is_open() || self->mSilent) {
+        return;
+      }
+      auto& message = self->mResponse;
+      message = {};
+      message.result(response.mStatus);
+      message.set(http::field::content_type, response.mContentType);
+      for (const auto& header : response.mHeaders) {
+        message.set(header.mName, header.mValue);
       }
+      message.body() = std::move(response.mBody);
+      message.keep_alive(self->mKeepAlive && !response.mClose);
+      message.prepare_payload();
+      self->mPending.reset();
+      http::async_write(self->mSocket, message, [self](error_code aError, std::size_t) {
+        if (aError || !self->mResponse.keep_alive()) {
+          self->Close();
+        } else {
+          self->Read();
+        }
+      });
     });
-  });
 }
 
 } // namespace
@@ -258,32 +257,31 @@
 void
 ConnectionServer::State::Accept()
 {
-  mAcceptor->async_accept([self = shared_from_this()](error_code aError,
-                                                      tcp::socket aSocket) {
-    if (aError) {
-      return;
-    }
-    auto& counts = self->mCounts;
-    if (counts.mOpen >= self->mOptions.mConnectionLimit) {
-      ++counts.mRefused;
-      error_code ignored;
-      aSocket.close(ignored);
-    } else {
-      ++counts.mAccepted;
-      counts.mMaxOpen = std::max(counts.mMaxOpen, ++counts.mOpen);
-      auto connection = std::make_shared<Connection>(self, std::move(aSocket));
-      self->mConnections.insert(connection);
-      connection->Start();
-    }
-    if (self->mAcceptor) {
-      self->Accept();
-    }
-  });
+  mAcceptor->async_accept(
+    [self = shared_from_this()](error_code aError, tcp::socket aSocket) {
+      if (aError) {
+        return;
+      }
+      auto& counts = self->mCounts;
+      if (counts.mOpen >= self->mOptions.mConnectionLimit) {
+        ++counts.mRefused;
+        error_code ignored;
+        aSocket.close(ignored);
+      } else {
+        ++counts.mAccepted;
+        counts.mMaxOpen = std::max(counts.mMaxOpen, ++counts.mOpen);
+        auto connection = std::make_shared<Connection>(self, std::move(aSocket));
+        self->mConnections.insert(connection);
+        connection->Start();
+      }
+      if (self->mAcceptor) {
+        self->Accept();
+      }
+    });
 }
 
 ConnectionServer::ConnectionServer(asio::io_context& aContext,
-                                   ConnectionServerOptions aOptions,
-                                   HandlerFn aHandler)
+                                   ConnectionServerOptions aOptions, HandlerFn aHandler)
   : mState(std::make_shared<State>(aContext, aOptions, std::move(aHandler)))
 {
 }
--- a/tests/standins/connection_server.hpp
+++ b/tests/standins/connection_server.hpp
@@ -56,8 +56,7 @@
 public:
   using HandlerFn = std::function<void(ExchangePtr)>;
 
-  ConnectionServer(boost::asio::io_context& aContext,
-                   ConnectionServerOptions aOptions,
+  ConnectionServer(boost::asio::io_context& aContext, ConnectionServerOptions aOptions,
                    HandlerFn aHandler);
   ~ConnectionServer();
   ConnectionServer(const ConnectionServer&) = delete;
--- a/tests/standins/platform_service.cpp
+++ b/tests/standins/platform_service.cpp
@@ -61,9 +61,9 @@
 PlatformService::CountCall(const std::string& aKind)
 {
   ++mCalls[aKind];
-  const auto second = std::chrono::duration_cast<std::chrono::seconds>(
-                        BootClock::now().time_since_epoch())
-                        .count();
+  const auto second =
+    std::chrono::duration_cast<std::chrono::seconds>(BootClock::now().time_since_epoch())
+      .count();
   if (second != mSecond) {
     mSecond = second;
     mCallsInSecond = 0;
--- a/tests/standins/upstream_group.cpp
+++ b/tests/standins/upstream_group.cpp
@@ -26,8 +26,8 @@
   aOptions.mInstance.mLayout.mInstances = aOptions.mInstances;
   for (std::size_t number = 0; number < aOptions.mInstances; ++number) {
     mInstances.push_back(std::make_unique<UpstreamInstance>(
-      aContext, aOptions.mName + "-" + std::to_string(number), number,
-      aOptions.mInstance, mRecord));
+      aContext, aOptions.mName + "-" + std::to_string(number), number, aOptions.mInstance,
+      mRecord));
   }
   mControl = std::make_unique<ConnectionServer>(
     aContext, ConnectionServerOptions{},
--- a/tests/standins/upstream_instance.cpp
+++ b/tests/standins/upstream_instance.cpp
@@ -59,8 +59,8 @@
     deadline = aExchange->Received() + std::chrono::milliseconds(*milliseconds);
   }
   if (const auto notAfter = ReadNumber(aBody, "not_after_unix_ms")) {
-    const auto left =
-      static_cast<std::int64_t>(*notAfter) - static_cast<std::int64_t>(UnixMilliseconds());
+    const auto left = static_cast<std::int64_t>(*notAfter) -
+                      static_cast<std::int64_t>(UnixMilliseconds());
     deadline = std::min(deadline, BootClock::now() + std::chrono::milliseconds(left));
   }
   return deadline;
@@ -75,10 +75,8 @@
 
 } // namespace
 
-UpstreamInstance::UpstreamInstance(boost::asio::io_context& aContext,
-                                   std::string aName,
-                                   std::size_t aNumber,
-                                   const InstanceOptions& aOptions,
+UpstreamInstance::UpstreamInstance(boost::asio::io_context& aContext, std::string aName,
+                                   std::size_t aNumber, const InstanceOptions& aOptions,
                                    UpstreamRecord& aRecord)
   : mContext(aContext)
   , mName(std::move(aName))
@@ -215,10 +213,9 @@
   };
   Submit(aExchange, HashText(job->mRequestId) % mSearchers.size(), job,
          [this, id = job->mRequestId, bodyId] {
-           return json::object{
-             { "request_id", id },
-             { "result", json::object{ { "id", bodyId }, { "upstream", mName } } }
-           };
+           return json::object{ { "request_id", id },
+                                { "result", json::object{ { "id", bodyId },
+                                                          { "upstream", mName } } } };
          });
 }
 
--- a/tests/standins/upstream_instance.hpp
+++ b/tests/standins/upstream_instance.hpp
@@ -62,10 +62,8 @@
 class UpstreamInstance
 {
 public:
-  UpstreamInstance(boost::asio::io_context& aContext,
-                   std::string aName,
-                   std::size_t aNumber,
-                   const InstanceOptions& aOptions,
+  UpstreamInstance(boost::asio::io_context& aContext, std::string aName,
+                   std::size_t aNumber, const InstanceOptions& aOptions,
                    UpstreamRecord& aRecord);
 
   const std::string& Name() const { return mName; }
