--- a/include/wasabispar/net/http_client.hpp
+++ b/include/wasabispar/net/http_client.hpp
@@ -32,7 +32,7 @@
 };
 
 /// @brief How an exchange ended.
-enum class ExchangeStatus
+enum class HttpExchangeEnd
 {
   /// A complete response arrived.
   Response,
@@ -46,9 +46,9 @@
   Cancelled,
 };
 
-struct ExchangeResult
+struct HttpExchangeResult
 {
-  ExchangeStatus mStatus = ExchangeStatus::ConnectFailed;
+  HttpExchangeEnd mEnd = HttpExchangeEnd::ConnectFailed;
   HttpResponse mResponse;
   /// The cause in words; empty for Response.
   std::string mCause;
@@ -63,7 +63,7 @@
 {
 public:
   using OpenFn = std::function<void(bool aOpened, std::string aCause)>;
-  using ExchangeFn = std::function<void(ExchangeResult)>;
+  using ExchangeFn = std::function<void(HttpExchangeResult)>;
 
   static std::shared_ptr<HttpConnection> Create(boost::asio::io_context& aContext,
                                                 Endpoint aEndpoint);
@@ -76,6 +76,9 @@
   virtual void Close() = 0;
   /// @brief False after a failure, Close(), or when the other side asked to close.
   virtual bool IsUsable() const = 0;
+  /// @brief Whether the idle connection is still open at this side; finds a close by the
+  /// other side that has arrived. Only on the connection's io_context.
+  virtual bool CheckIdle() = 0;
 };
 
 /// @brief Opens a connection, makes one exchange and closes it. @p aTimeout covers both.
