--- a/tests/failure/standin_upstream_test.cpp
+++ b/tests/failure/standin_upstream_test.cpp
@@ -69,16 +69,16 @@
     Run();
   }
 
-  ExchangeResult Post(const std::string& aTarget, const json::object& aBody,
+  HttpExchangeResult Post(const std::string& aTarget, const json::object& aBody,
                       Duration aTimeout = 1s)
   {
     HttpRequest request;
     request.mMethod = "POST";
     request.mTarget = aTarget;
     request.mBody = json::serialize(aBody);
-    ExchangeResult result;
+    HttpExchangeResult result;
     mConnection->Exchange(std::move(request), aTimeout,
-                          [&](ExchangeResult aResult) { result = std::move(aResult); });
+                          [&](HttpExchangeResult aResult) { result = std::move(aResult); });
     Run();
     return result;
   }
@@ -224,9 +224,9 @@
   const UpstreamProcess group(spec);
   KeptConnection first(group.Instance(0));
   KeptConnection second(group.Instance(0));
-  CHECK(first.Post("/search", SearchBody()).mStatus == ExchangeStatus::Response);
-  CHECK(second.Post("/search", SearchBody()).mStatus == ExchangeStatus::Response);
-  CHECK(Search(group, SearchBody()).mStatus != ExchangeStatus::Response);
+  CHECK(first.Post("/search", SearchBody()).mEnd == HttpExchangeEnd::Response);
+  CHECK(second.Post("/search", SearchBody()).mEnd == HttpExchangeEnd::Response);
+  CHECK(Search(group, SearchBody()).mEnd != HttpExchangeEnd::Response);
   const auto record = InstanceRecord(group.Record(), "upstream-0");
   CHECK(RecordNumber(record, "connections_open") == 2);
   CHECK(RecordNumber(record, "connections_max") == 2);
@@ -238,10 +238,10 @@
   // Guards against tests of hanging connections that only see closed ones.
   const UpstreamProcess group(OneInstance());
   KeptConnection old(group.Instance(0));
-  CHECK(old.Post("/search", SearchBody()).mStatus == ExchangeStatus::Response);
+  CHECK(old.Post("/search", SearchBody()).mEnd == HttpExchangeEnd::Response);
   group.Set("*", { { "freeze", "open" } });
   CHECK(Search(group, SearchBody()).Code() == 200);
-  CHECK(old.Post("/search", SearchBody(), 200ms).mStatus == ExchangeStatus::TimedOut);
+  CHECK(old.Post("/search", SearchBody(), 200ms).mEnd == HttpExchangeEnd::TimedOut);
 }
 
 TEST_CASE("a frozen instance answers nothing until the freeze ends")
@@ -250,7 +250,7 @@
   const UpstreamProcess group(OneInstance());
   group.Set("*", { { "freeze", "all" } });
   std::thread late([&] { CHECK(Search(group, SearchBody()).Code() == 200); });
-  CHECK(Search(group, SearchBody(), 200ms).mStatus == ExchangeStatus::TimedOut);
+  CHECK(Search(group, SearchBody(), 200ms).mEnd == HttpExchangeEnd::TimedOut);
   group.Set("*", { { "freeze", "none" } });
   late.join();
 }
@@ -261,12 +261,12 @@
   const UpstreamProcess group(OneInstance());
   group.Set("*", { { "crash_down_ms", 300 } });
   const auto crashed = Search(group, SearchBody("s0", 1000, "!crash!"));
-  CHECK(crashed.mStatus == ExchangeStatus::ConnectionLost);
-  CHECK(Search(group, SearchBody()).mStatus == ExchangeStatus::ConnectFailed);
+  CHECK(crashed.mEnd == HttpExchangeEnd::ConnectionLost);
+  CHECK(Search(group, SearchBody()).mEnd == HttpExchangeEnd::ConnectFailed);
   CHECK(WaitUntil(2s, [&] { return Search(group, SearchBody()).Code() == 200; }));
   CHECK(RecordNumber(group.Record(), "crashes") == 1);
   group.Set("*", { { "down", true } });
-  CHECK(Search(group, SearchBody()).mStatus == ExchangeStatus::ConnectFailed);
+  CHECK(Search(group, SearchBody()).mEnd == HttpExchangeEnd::ConnectFailed);
   group.Set("*", { { "down", false } });
   CHECK(Search(group, SearchBody()).Code() == 200);
 }
@@ -292,17 +292,17 @@
   const UpstreamProcess group(OneInstance());
   TcpRelay relay(group.Instance(0));
   const auto post = [&](Duration aTimeout) {
-    return PostJson(relay.Address(), "/search", SearchBody(), aTimeout).mStatus;
+    return PostJson(relay.Address(), "/search", SearchBody(), aTimeout).mEnd;
   };
-  CHECK(post(2s) == ExchangeStatus::Response);
+  CHECK(post(2s) == HttpExchangeEnd::Response);
   KeptConnection kept(relay.Address());
   relay.SilenceOpenConnections();
-  CHECK(kept.Post("/search", SearchBody(), 200ms).mStatus == ExchangeStatus::TimedOut);
-  CHECK(post(2s) == ExchangeStatus::Response);
+  CHECK(kept.Post("/search", SearchBody(), 200ms).mEnd == HttpExchangeEnd::TimedOut);
+  CHECK(post(2s) == HttpExchangeEnd::Response);
   relay.SetMode(RelayMode::Silent);
-  CHECK(post(200ms) == ExchangeStatus::TimedOut);
+  CHECK(post(200ms) == HttpExchangeEnd::TimedOut);
   relay.SetMode(RelayMode::Cut);
-  CHECK(post(200ms) == ExchangeStatus::ConnectFailed);
+  CHECK(post(200ms) == HttpExchangeEnd::ConnectFailed);
   relay.SetMode(RelayMode::Pass);
-  CHECK(post(2s) == ExchangeStatus::Response);
+  CHECK(post(2s) == HttpExchangeEnd::Response);
 }
--- a/tests/harness/http_call.cpp
+++ b/tests/harness/http_call.cpp
@@ -13,7 +13,7 @@
 unsigned
 CallReply::Code() const
 {
-  return mStatus == ExchangeStatus::Response ? mResponse.mStatus : 0;
+  return mEnd == HttpExchangeEnd::Response ? mResponse.mStatus : 0;
 }
 
 boost::json::object
@@ -33,8 +33,8 @@
   request.mBody = aBody;
   CallReply reply;
   HttpFetch(context, aEndpoint, std::move(request), aTimeout,
-            [&](ExchangeResult aResult) {
-              reply.mStatus = aResult.mStatus;
+            [&](HttpExchangeResult aResult) {
+              reply.mEnd = aResult.mEnd;
               reply.mResponse = std::move(aResult.mResponse);
             });
   context.run();
--- a/tests/harness/http_call.hpp
+++ b/tests/harness/http_call.hpp
@@ -15,7 +15,7 @@
 /// @brief The end of a call.
 struct CallReply
 {
-  ExchangeStatus mStatus = ExchangeStatus::ConnectFailed;
+  HttpExchangeEnd mEnd = HttpExchangeEnd::ConnectFailed;
   HttpResponse mResponse;
 
   /// @brief The HTTP status; 0 when no response arrived.
