--- /dev/null
+++ b/bench/scenario.cpp
@@ -0,0 +1,162 @@
+/// @file
+/// @brief Defines the groups and scenarios.
+#include "bench/scenario.hpp"
+
+#include "tests/standins/index_layout.hpp"
+
+#include <csignal>
+#include <thread>
+
+namespace wasabispar::bench {
+
+namespace json = boost::json;
+using harness::Cluster;
+
+namespace {
+
+/// The first event, as a share of the load's length; before it the tier runs calmly.
+constexpr double kStart = 0.2;
+constexpr double kEnd = 0.6;
+/// 2% of the sub-requests take 20 times as long, which a quarter of the queries over 15
+/// shards meet.
+constexpr double kStragglerShare = 0.02;
+constexpr double kStragglerFactor = 20;
+/// An index version spreads over a group instance by instance.
+constexpr auto kSwitchStep = std::chrono::milliseconds(50);
+
+Duration
+At(Duration aLength, double aShare)
+{
+  return std::chrono::duration_cast<Duration>(aLength * aShare);
+}
+
+GroupCase
+MakeGroup(const std::string& aDeployment, const std::string& aName,
+          std::size_t aInstances, std::size_t aReplicas)
+{
+  GroupCase group;
+  group.mDeployment = aDeployment;
+  group.mUpstream.mName = aName;
+  group.mUpstream.mIndex = aName;
+  group.mUpstream.mInstances = aInstances;
+  group.mUpstream.mSearchers = 3;
+  group.mUpstream.mSlots = 2;
+  group.mUpstream.mConnectionLimit = 25;
+  group.mUpstream.mConnectionCostMs = 6;
+  group.mUpstream.mShards = 15;
+  group.mUpstream.mReplicas = aReplicas;
+  group.mUpstream.mBaseMs = 3;
+  group.mUpstream.mJitterMs = 1;
+  return group;
+}
+
+std::vector<LoadEvent>
+NoEvents(Cluster&, Duration)
+{
+  return {};
+}
+
+void
+NoPreparation(Cluster&)
+{
+}
+
+void
+MakeStragglers(Cluster& aCluster)
+{
+  aCluster.Upstream().Set("*", { { "straggler_share", kStragglerShare },
+                                 { "straggler_factor", kStragglerFactor } });
+}
+
+/// Applies @p aBegin to the first instance and @p aEnd later.
+std::vector<LoadEvent>
+OnFirstInstance(Cluster& aCluster, Duration aLength, const json::object& aBegin,
+                const json::object& aEnd)
+{
+  auto& group = aCluster.Upstream();
+  const auto name = group.InstanceName(0);
+  return { { At(aLength, kStart), [&group, name, aBegin] { group.Set(name, aBegin); } },
+           { At(aLength, kEnd), [&group, name, aEnd] { group.Set(name, aEnd); } } };
+}
+
+std::vector<LoadEvent>
+LostReplica(Cluster& aCluster, Duration aLength)
+{
+  return OnFirstInstance(aCluster, aLength, { { "down", true } }, { { "down", false } });
+}
+
+std::vector<LoadEvent>
+FrozenUpstream(Cluster& aCluster, Duration aLength)
+{
+  return OnFirstInstance(aCluster, aLength, { { "freeze", "all" } },
+                         { { "freeze", "none" } });
+}
+
+void
+SetEachInstance(harness::UpstreamProcess& aGroup, const json::object& aSettings)
+{
+  for (std::size_t i = 0; i < aGroup.Spec().mInstances; ++i) {
+    aGroup.Set(aGroup.InstanceName(i), aSettings);
+    std::this_thread::sleep_for(kSwitchStep);
+  }
+}
+
+std::vector<LoadEvent>
+IndexSwitch(Cluster& aCluster, Duration aLength)
+{
+  auto& group = aCluster.Upstream();
+  const auto version = group.Spec().mVersion;
+  // One shard more: a repartition, so that the maps of the versions differ.
+  const json::object next{ { "version", version + 1 },
+                           { "shards", group.Spec().mShards + 1 } };
+  return { { At(aLength, kStart),
+             [&group, next] {
+               SetEachInstance(group, { { "add_version", next } });
+             } },
+           { At(aLength, kEnd), [&group, version] {
+              SetEachInstance(group, { { "drop_version", version } });
+            } } };
+}
+
+std::vector<LoadEvent>
+FrozenVm(Cluster& aCluster, Duration aLength)
+{
+  auto& process = aCluster.Vm(0).Process();
+  return { { At(aLength, kStart), [&process] { process.Signal(SIGSTOP); } },
+           { At(aLength, kEnd), [&process] { process.Signal(SIGCONT); } } };
+}
+
+} // namespace
+
+std::vector<GroupCase>
+AllGroups()
+{
+  return { MakeGroup("Kimonoliit", "counter-app", 10, 2),
+           MakeGroup("Kimonoliit", "ledger-sync", 15, 3),
+           MakeGroup("Tawzi3", "benchsvc", 10, 2),
+           MakeGroup("Tawzi3", "pressplan", 15, 3) };
+}
+
+std::vector<Scenario>
+AllScenarios()
+{
+  return { { "calm", NoPreparation, NoEvents },
+           { "stragglers", MakeStragglers, NoEvents },
+           { "lost-replica", NoPreparation, LostReplica },
+           { "index-switch", NoPreparation, IndexSwitch },
+           { "frozen-upstream", NoPreparation, FrozenUpstream },
+           { "frozen-vm", NoPreparation, FrozenVm } };
+}
+
+ShardMaps
+MapsOf(const harness::UpstreamSpec& aUpstream)
+{
+  ShardMaps maps;
+  for (std::size_t more = 0; more <= 1; ++more) {
+    const auto names = standins::ShardNames(aUpstream.mShards + more);
+    maps[aUpstream.mVersion + more] = { names.begin(), names.end() };
+  }
+  return maps;
+}
+
+} // namespace wasabispar::bench
--- a/tests/failure/standin_upstream_test.cpp
+++ b/tests/failure/standin_upstream_test.cpp
@@ -70,15 +70,16 @@
   }
 
   HttpExchangeResult Post(const std::string& aTarget, const json::object& aBody,
-                      Duration aTimeout = 1s)
+                          Duration aTimeout = 1s)
   {
     HttpRequest request;
     request.mMethod = "POST";
     request.mTarget = aTarget;
     request.mBody = json::serialize(aBody);
     HttpExchangeResult result;
-    mConnection->Exchange(std::move(request), aTimeout,
-                          [&](HttpExchangeResult aResult) { result = std::move(aResult); });
+    mConnection->Exchange(std::move(request), aTimeout, [&](HttpExchangeResult aResult) {
+      result = std::move(aResult);
+    });
     Run();
     return result;
   }
