--- a/bench/load_generator.cpp
+++ b/bench/load_generator.cpp
@@ -138,7 +138,7 @@
     const auto now = BootClock::now();
     for (std::size_t tried = 0; tried < mSpec.mVms.size(); ++tried) {
       const auto vm = mNextVm++ % mSpec.mVms.size();
-      if (mAvoidUntil[vm] <= now) {
+      if (mAvoidUntil[vm] <= now && (!mSpec.mMayUse || mSpec.mMayUse(vm))) {
         return vm;
       }
     }
@@ -180,6 +180,9 @@
     if (!verdict.mAnswered) {
       ++mReport.mRefusals[verdict.mOutcome];
       NoteFailure(aArrival);
+    } else if (verdict.mCoverage < kComplete) {
+      mReport.mLastIncomplete =
+        std::max(mReport.mLastIncomplete, Duration(aArrival.mScheduled - mStart));
     }
     Count(mReport.mAll, aArrival, verdict);
     Count(mReport.mByCaller[aArrival.mCaller], aArrival, verdict);
@@ -300,6 +303,7 @@
   }
   object["first_faults"] = std::move(first);
   object["last_failure_ms"] = ToMilliseconds(aReport.mLastFailure);
+  object["last_incomplete_ms"] = ToMilliseconds(aReport.mLastIncomplete);
   json::object callers;
   for (const auto& [caller, figures] : aReport.mByCaller) {
     callers[caller] = ToJson(figures);
--- a/bench/load_generator.hpp
+++ b/bench/load_generator.hpp
@@ -48,6 +48,9 @@
   ShardMaps mMaps;
   std::size_t mHitLimit = 1000;
   std::vector<LoadEvent> mEvents;
+  /// Whether VM number n gets new requests, as a balancer decides it; empty: always.
+  /// Called on the load's thread.
+  std::function<bool(std::size_t aVm)> mMayUse;
 };
 
 /// @brief What one caller, or all callers, saw. Latency is measured from the scheduled
@@ -83,6 +86,8 @@
   std::vector<std::string> mFirstFaults;
   /// Time from the start to the last arrival whose request was refused or lost.
   Duration mLastFailure{};
+  /// The same for answers without full coverage.
+  Duration mLastIncomplete{};
 };
 
 /// @brief Runs the load and returns when each request has ended.
--- a/bench/scenario.cpp
+++ b/bench/scenario.cpp
@@ -21,6 +21,9 @@
 /// shards meet.
 constexpr double kStragglerShare = 0.02;
 constexpr double kStragglerFactor = 20;
+constexpr double kNoisyFactor = 10;
+/// Length of one fault of `all-faults`; the next one begins after twice this time.
+constexpr auto kFaultLength = std::chrono::milliseconds(1500);
 /// An index version spreads over a group instance by instance.
 constexpr auto kSwitchStep = std::chrono::milliseconds(50);
 
@@ -126,6 +129,89 @@
            { At(aLength, kEnd), [&process] { process.Signal(SIGCONT); } } };
 }
 
+void
+AddNoise(LoadSpec& aLoad)
+{
+  double before = 0;
+  double after = 0;
+  for (auto& caller : aLoad.mCallers) {
+    before += caller.mWeight;
+    if (caller.mName == kNoisyCaller) {
+      caller.mWeight *= kNoisyFactor;
+    }
+    after += caller.mWeight;
+  }
+  aLoad.mRatePerSecond *= after / before;
+}
+
+/// A fault of `all-faults`: its begin and its end.
+struct Fault
+{
+  std::function<void()> mBegin;
+  std::function<void()> mEnd;
+};
+
+/// The fault on one instance that @p aBegin and @p aEnd set.
+Fault
+InstanceFault(harness::UpstreamProcess& aGroup, std::size_t aInstance,
+              const json::object& aBegin, const json::object& aEnd)
+{
+  const auto name = aGroup.InstanceName(aInstance % aGroup.Spec().mInstances);
+  return { [&aGroup, name, aBegin] { aGroup.Set(name, aBegin); },
+           [&aGroup, name, aEnd] { aGroup.Set(name, aEnd); } };
+}
+
+/// The fault number @p aNumber; all kinds come in turn, on another instance each time.
+Fault
+MakeFault(Cluster& aCluster, std::size_t aNumber)
+{
+  auto& group = aCluster.Upstream();
+  const auto version = group.Spec().mVersion;
+  const json::object next{ { "version", version + 1 },
+                           { "shards", group.Spec().mShards + 1 } };
+  constexpr std::size_t kKinds = 7;
+  switch (aNumber % kKinds) {
+    case 0:
+      return InstanceFault(group, aNumber, { { "down", true } }, { { "down", false } });
+    case 1:
+      return InstanceFault(group, aNumber, { { "freeze", "all" } },
+                           { { "freeze", "none" } });
+    case 2:
+      return InstanceFault(group, aNumber, { { "freeze", "open" } }, {});
+    case 3:
+      return InstanceFault(group, aNumber, { { "latency_factor", 30 } },
+                           { { "latency_factor", 1 } });
+    case 4:
+      return { [&group, next] {
+                SetEachInstance(group, { { "add_version", next } });
+              },
+               [&group, version] {
+                 SetEachInstance(group, { { "drop_version", version + 1 } });
+               } };
+    case 5: {
+      auto& vm = aCluster.Vm(aNumber % aCluster.VmCount()).Process();
+      return { [&vm] { vm.Signal(SIGSTOP); }, [&vm] { vm.Signal(SIGCONT); } };
+    }
+    default:
+      return { [&aCluster] { aCluster.Platform().SetMode("down"); },
+               [&aCluster] { aCluster.Platform().SetMode("normal"); } };
+  }
+}
+
+std::vector<LoadEvent>
+AllFaults(Cluster& aCluster, Duration aLength)
+{
+  std::vector<LoadEvent> events;
+  Duration at = kFaultLength;
+  for (std::size_t number = 0; at + kFaultLength < aLength; ++number) {
+    auto fault = MakeFault(aCluster, number);
+    events.push_back({ at, std::move(fault.mBegin) });
+    events.push_back({ at + kFaultLength, std::move(fault.mEnd) });
+    at += 2 * kFaultLength;
+  }
+  return events;
+}
+
 } // namespace
 
 std::vector<GroupCase>
@@ -140,12 +226,14 @@
 std::vector<Scenario>
 AllScenarios()
 {
-  return { { "calm", NoPreparation, NoEvents },
-           { "stragglers", MakeStragglers, NoEvents },
-           { "lost-replica", NoPreparation, LostReplica },
-           { "index-switch", NoPreparation, IndexSwitch },
-           { "frozen-upstream", NoPreparation, FrozenUpstream },
-           { "frozen-vm", NoPreparation, FrozenVm } };
+  return { { "calm", NoPreparation, NoEvents, nullptr },
+           { "stragglers", MakeStragglers, NoEvents, nullptr },
+           { "lost-replica", NoPreparation, LostReplica, nullptr },
+           { "index-switch", NoPreparation, IndexSwitch, nullptr },
+           { "frozen-upstream", NoPreparation, FrozenUpstream, nullptr },
+           { "frozen-vm", NoPreparation, FrozenVm, nullptr },
+           { "noisy-caller", NoPreparation, NoEvents, AddNoise },
+           { kAllFaults, MakeStragglers, AllFaults, nullptr } };
 }
 
 ShardMaps
--- a/bench/tier_run.cpp
+++ b/bench/tier_run.cpp
@@ -49,15 +49,33 @@
     load.mVms.push_back(aCluster.Vm(vm).Caller());
   }
   load.mProfile = kProfile;
-  load.mCallers = { { "caller-a", 1 }, { "caller-b", 1 }, { "caller-c", 1 } };
+  load.mCallers = { { kNoisyCaller, 1 }, { "caller-b", 1 }, { "caller-c", 1 } };
   load.mRatePerSecond = aSpec.mGroup.mQueriesPerSecond;
   load.mDuration = aSpec.mLength;
   load.mSeed = aSpec.mSeed;
   load.mMaps = MapsOf(aSpec.mGroup.mUpstream);
   load.mEvents = aSpec.mScenario.mEvents(aCluster, aSpec.mLength);
+  if (aSpec.mScenario.mChangeLoad) {
+    aSpec.mScenario.mChangeLoad(load);
+  }
   return load;
 }
 
+/// The 99th percentile of the callers that do not change their load.
+double
+QuietCallersP99(const LoadReport& aReport)
+{
+  LoadFigures quiet;
+  for (const auto& [caller, figures] : aReport.mByCaller) {
+    if (caller != kNoisyCaller) {
+      quiet.mLatencies.insert(quiet.mLatencies.end(), figures.mLatencies.begin(),
+                              figures.mLatencies.end());
+    }
+  }
+  std::sort(quiet.mLatencies.begin(), quiet.mLatencies.end());
+  return quiet.Quantile(0.99);
+}
+
 void
 ReadInstances(const json::object& aRecord, TierRunResult& aResult)
 {
@@ -107,6 +125,7 @@
     static_cast<double>((after.mCpu - before.mCpu).count()) / (vmSeconds * 10.0);
   result.mControlBytesPerSecond =
     (after.mControlBytes - before.mControlBytes) / vmSeconds;
+  result.mQuietCallersP99Ms = QuietCallersP99(result.mLoad);
   ReadInstances(cluster.Upstream().Record(), result);
   return result;
 }
@@ -115,6 +134,7 @@
 ToJson(const TierRunResult& aResult)
 {
   auto object = ToJson(aResult.mLoad);
+  object["quiet_callers_p99_ms"] = aResult.mQuietCallersP99Ms;
   object["extra_load"] = aResult.mExtraLoad;
   object["max_connections_per_instance"] = aResult.mMaxConnections;
   object["refused_connections"] = aResult.mRefusedConnections;
--- a/bench/tier_run.hpp
+++ b/bench/tier_run.hpp
@@ -25,6 +25,8 @@
 struct TierRunResult
 {
   LoadReport mLoad;
+  /// 99th percentile of all callers but kNoisyCaller, in ms.
+  double mQuietCallersP99Ms = 0;
   /// Sub-requests that reached the stand-ins over shards times queries, minus 1. A
   /// refused query counts as one that needed all shards of the first version.
   double mExtraLoad = 0;
--- a/bench/whole_path.cpp
+++ b/bench/whole_path.cpp
@@ -69,27 +69,28 @@
          const TierRunResult& aResult)
 {
   const auto& all = aResult.mLoad.mAll;
-  std::printf("%-11s %-12s %-15s %-11s %5llu %7.1f %7.1f %7.1f %7.1f %5u %7.4f %6.1f%% "
-              "%4llu %5.1f %5.1f%% %6.0f %5llu\n",
-              aGroup.mDeployment.c_str(), aGroup.mUpstream.mName.c_str(),
-              aScenario.mName.c_str(), aTier.c_str(),
-              static_cast<unsigned long long>(all.mRequests), all.Quantile(0.5),
-              all.Quantile(0.99), all.Quantile(0.999), all.CoverageMean(),
-              all.mCoverageMin, all.ShareComplete(), aResult.mExtraLoad * 100,
-              static_cast<unsigned long long>(aResult.mMaxConnections),
-              aResult.mPlatformCallsPerSecond, aResult.mCpuPercentPerVm,
-              aResult.mControlBytesPerSecond,
-              static_cast<unsigned long long>(aResult.mLoad.mFaults));
+  std::printf(
+    "%-11s %-12s %-15s %-11s %5llu %7.1f %7.1f %7.1f %7.1f %5u %7.4f %7.1f %6.1f%% "
+    "%4llu %5.1f %5.1f%% %6.0f %5llu\n",
+    aGroup.mDeployment.c_str(), aGroup.mUpstream.mName.c_str(), aScenario.mName.c_str(),
+    aTier.c_str(), static_cast<unsigned long long>(all.mRequests), all.Quantile(0.5),
+    all.Quantile(0.99), all.Quantile(0.999), all.CoverageMean(), all.mCoverageMin,
+    all.ShareComplete(), aResult.mQuietCallersP99Ms, aResult.mExtraLoad * 100,
+    static_cast<unsigned long long>(aResult.mMaxConnections),
+    aResult.mPlatformCallsPerSecond, aResult.mCpuPercentPerVm,
+    aResult.mControlBytesPerSecond,
+    static_cast<unsigned long long>(aResult.mLoad.mFaults));
   std::fflush(stdout);
 }
 
 void
 PrintHeader()
 {
-  std::printf("%-11s %-12s %-15s %-11s %5s %7s %7s %7s %7s %5s %7s %7s %4s %5s %6s %6s "
-              "%5s\n",
-              "deployment", "group", "scenario", "tier", "n", "p50", "p99", "p99.9",
-              "cov", "min", "compl", "extra", "conn", "plat", "cpu", "ctl B", "wrong");
+  std::printf(
+    "%-11s %-12s %-15s %-11s %5s %7s %7s %7s %7s %5s %7s %7s %7s %4s %5s %6s %6s "
+    "%5s\n",
+    "deployment", "group", "scenario", "tier", "n", "p50", "p99", "p99.9", "cov", "min",
+    "compl", "quiet99", "extra", "conn", "plat", "cpu", "ctl B", "wrong");
 }
 
 /// Runs both tiers in one scenario. Returns the number of untrue answers.
@@ -158,7 +159,10 @@
         group.mQueriesPerSecond = arguments.mQueriesPerSecond;
       }
       for (const auto& scenario : AllScenarios()) {
-        if (arguments.mScenario.empty() || scenario.mName == arguments.mScenario) {
+        const bool chosen = arguments.mScenario.empty()
+                              ? scenario.mName != kAllFaults
+                              : scenario.mName == arguments.mScenario;
+        if (chosen) {
           faults += Measure(arguments, group, scenario, results);
         }
       }
