--- a/tests/harness/cluster.cpp
+++ b/tests/harness/cluster.cpp
@@ -150,13 +150,9 @@
 json::object
 Cluster::VmList() const
 {
-  json::array vms;
+  json::array vms = mForeignVms;
   for (const auto& vm : mVms) {
-    vms.push_back(json::object{ { "vm", vm->Spec().mName },
-                                { "data_centre", vm->Spec().mDataCentre },
-                                { "region", vm->Spec().mRegion },
-                                { "fleet", vm->Fleet().Text() },
-                                { "state", "live" } });
+    vms.push_back(VmEntry(vm->Spec(), vm->Fleet()));
   }
   json::array upstreams;
   for (std::size_t group = 0; group < mUpstreams.size(); ++group) {
@@ -168,6 +164,23 @@
   return { { "vms", vms }, { "upstreams", upstreams } };
 }
 
+json::object
+VmEntry(const VmSpec& aVm, const Endpoint& aFleet)
+{
+  return { { "vm", aVm.mName },
+           { "data_centre", aVm.mDataCentre },
+           { "region", aVm.mRegion },
+           { "fleet", aFleet.Text() },
+           { "state", "live" } };
+}
+
+void
+Cluster::SetForeignVms(json::array aVms)
+{
+  mForeignVms = std::move(aVms);
+  PublishList();
+}
+
 void
 Cluster::PublishList()
 {
--- a/tests/harness/cluster.hpp
+++ b/tests/harness/cluster.hpp
@@ -81,6 +81,9 @@
   VmProcess& Vm(std::size_t aNumber) { return *mVms.at(aNumber); }
   TcpRelay& InstanceRelay(std::size_t aUpstream, std::size_t aInstance);
 
+  /// @brief Adds VMs of another cluster, with the addresses at which this one reaches
+  /// them, to the list and publishes it.
+  void SetForeignVms(boost::json::array aVms);
   /// @brief Publishes the list of the VMs that were not removed and of the upstreams.
   void PublishList();
   /// @brief Marks an upstream instance as leaving in the list and publishes it.
@@ -104,8 +107,13 @@
   std::vector<std::vector<std::unique_ptr<TcpRelay>>> mInstanceRelays;
   std::vector<std::unique_ptr<VmProcess>> mVms;
   std::vector<std::string> mLeaving;
+  boost::json::array mForeignVms;
 };
 
+/// @brief The entry of a VM in the platform's list, reached at @p aFleet.
+boost::json::object
+VmEntry(const VmSpec& aVm, const Endpoint& aFleet);
+
 /// @brief A search profile that any caller may use, as JSON for PublishProfile().
 boost::json::object
 SearchProfile(const std::string& aIndex);
