--- a/src/wasabispar/app/slo_tracker.cpp
+++ b/src/wasabispar/app/slo_tracker.cpp
@@ -97,7 +97,9 @@
   const auto last = MinuteOf(aNow);
   std::vector<BurnReport> reports;
   std::lock_guard lock(mMutex);
-  for (const auto& [name, minutes] : mProfiles) {
+  for (const auto& entry : mProfiles) {
+    const auto& name = entry.first;
+    const auto& minutes = entry.second;
     const auto found = aView.Find(name);
     if (!found.mProfile) {
       continue;
