--- a/include/wasabispar/catalogue/config_sync.hpp
+++ b/include/wasabispar/catalogue/config_sync.hpp
@@ -111,6 +111,7 @@
                                 TimePoint aNow);
   /// @brief The call failed or its reply was malformed.
   ConfigActions OnPlatformError(PlatformCallId aCall, TimePoint aNow);
+  /// @brief A message of a peer; ignored before Start().
   ConfigActions OnMessage(const VmId& aFrom, const ConfigMessage& aMessage,
                           TimePoint aNow);
 
@@ -229,6 +230,8 @@
   DeltaAssembler mAssembler;
 
   std::optional<StartComplete> mStarted;
+  /// Start() was called.
+  bool mRunning = false;
   TimePoint mStartedAt{};
   TimePoint mNextAskAt{};
   /// Peers that were asked during the start and have not answered yet.
--- a/src/wasabispar/catalogue/config_sync.cpp
+++ b/src/wasabispar/catalogue/config_sync.cpp
@@ -36,6 +36,7 @@
 ConfigActions
 ConfigSync::Start(ConfigPeers aPeers, TimePoint aNow)
 {
+  mRunning = true;
   mStartedAt = aNow;
   mNextAskAt = aNow;
   mNextDigestAt = aNow + RandomUpTo(mOptions.mDigestPeriod);
@@ -66,6 +67,9 @@
 ConfigSync::Tick(TimePoint aNow)
 {
   ConfigActions actions;
+  if (!mRunning) {
+    return actions;
+  }
   UpdateWatch(aNow, actions);
   if (!mStarted && aNow >= mNextAskAt) {
     AskForStart(aNow, actions);
@@ -254,6 +258,9 @@
 ConfigSync::OnMessage(const VmId& aFrom, const ConfigMessage& aMessage, TimePoint aNow)
 {
   ConfigActions actions;
+  if (!mRunning) {
+    return actions;
+  }
   if (const auto* digest = std::get_if<CatalogueDigestMessage>(&aMessage)) {
     OnDigest(aFrom, *digest, aNow, actions);
   } else if (const auto* pull = std::get_if<CataloguePullMessage>(&aMessage)) {
