--- a/src/wasabispar/app/execution_service.cpp
+++ b/src/wasabispar/app/execution_service.cpp
@@ -104,6 +104,7 @@
   ExecutionInput mInput;
   DoneFn mDone;
   TimePoint mDeadline;
+  TimePoint mAdmitted;
   RequestFingerprint mFingerprint;
   std::string mRequestId;
   IndexName mIndex;
@@ -331,7 +332,8 @@
 ExecutionService::EndAdmitted(const std::shared_ptr<Running>& aRunning,
                               ExecutionAnswer aAnswer)
 {
-  mAdmission.Finish(mContext.mNow());
+  const auto now = mContext.mNow();
+  mAdmission.Finish(now - aRunning->mAdmitted, now);
   aRunning->mDone(std::move(aAnswer));
 }
 
--- a/src/wasabispar/app/query_service.cpp
+++ b/src/wasabispar/app/query_service.cpp
@@ -48,6 +48,7 @@
   Worker& mWorker;
   RequestId mRequest;
   TimePoint mArrived;
+  TimePoint mAdmitted;
   TimePoint mDeadline;
   RequestFingerprint mFingerprint;
   std::shared_ptr<const Profile> mProfile;
@@ -117,6 +118,7 @@
                         Refuse(running, AdmissionRefusal(aReason));
                         return;
                       }
+                      running->mAdmitted = mContext.mNow();
                       running->mWorker.Dispatch([this, running] { Begin(running); });
                     });
 }
@@ -149,7 +151,7 @@
 {
   const auto now = mContext.mNow();
   const auto end = [&](Refusal aRefusal) {
-    mAdmission.Finish(now);
+    mAdmission.Finish(now - aRunning->mAdmitted, now);
     Refuse(aRunning, std::move(aRefusal));
   };
   // The profile may have been retired while the request was queued.
@@ -306,7 +308,8 @@
 QueryService::Finish(const std::shared_ptr<Running>& aRunning, Answer aAnswer)
 {
   aRunning->mTimer.Cancel();
-  mAdmission.Finish(mContext.mNow());
+  const auto now = mContext.mNow();
+  mAdmission.Finish(now - aRunning->mAdmitted, now);
   QueryResult result;
   result.mRequest = aRunning->mRequest;
   if (aAnswer.mRefusal) {
