--- a/src/wasabispar/admission/admission_control_test.cpp
+++ b/src/wasabispar/admission/admission_control_test.cpp
@@ -125,8 +125,8 @@
   // Guards against slots spent on requests that start right before their deadline.
   AdmissionControl control(SmallOptions(1));
   AdmissionReason last{};
-  const auto submit = [&](TimePoint aNow) {
-    control.Submit(CallerId("a"), 1, aNow + 100ms, aNow,
+  const auto submit = [&](TimePoint aNow, Duration aDeadline = 100ms) {
+    control.Submit(CallerId("a"), 1, aNow + aDeadline, aNow,
                    [&](AdmissionReason aReason) { last = aReason; });
   };
   submit(kNow);
@@ -137,6 +137,10 @@
   CHECK(last == AdmissionReason::Admitted);
   control.Expire(kNow + 100ms);
   CHECK(last == AdmissionReason::QueueDeadline);
+  // A deadline shorter than the usual run time leaves half of it to the queue.
+  submit(kNow + 100ms, 20ms);
+  control.Expire(kNow + 109ms);
+  CHECK(control.Queued() == 1);
 }
 
 TEST_CASE("the limit follows a standing delay of the workers, not a burst")
