Keep a query alive while only its timer is pending; never claim not-run for a resent ticket

Cause: a query whose sub-requests had all ended was kept alive by its timer through a weak pointer only, so it was destroyed, and its caller's connection was closed without an answer (found by 'a shard without a replica is named as missing' and 'connections that go silent are replaced', code 0 and 3 lost requests). Ruled out: a crash of the process, as later requests were answered. Change: the timer holds the query.

Cause: a VM that could not hand a ticket to its issuer, or that was starting, answered not-run, although an earlier copy of the ticket may have run (found by 'a ticket of a killed VM is outcome-unknown and never runs').

--- a/src/wasabispar/app/caller_api.cpp
+++ b/src/wasabispar/app/caller_api.cpp
@@ -159,7 +159,11 @@
 {
   const auto error = aAnswer.AsError();
   if (aAnswer.mEnd != EndCondition::UpstreamAnswered) {
-    return RefusalResponse(aAnswer.Status(), error);
+    auto refusal = RefusalResponse(aAnswer.Status(), error);
+    refusal.mBody = json::serialize(json::object{ { "outcome", ToText(error.mOutcome) },
+                                                  { "covers", ToText(aAnswer.mScope) },
+                                                  { "error", ErrorOf(error) } });
+    return refusal;
   }
   HttpResponse response;
   response.mBody = "{\"outcome\":\"ran\",\"result\":" +
@@ -226,17 +230,17 @@
       { Step::ParseRequest, {}, Outcome::NotRun, "no such method or path" }));
     return;
   }
-  if (!mMayServe()) {
-    aRespond(RefusalResponse(
-      503, { Step::Configuration, {}, Outcome::NotRun, "this VM is starting" }));
-    return;
-  }
   HandleError(
     [&]() -> Result<int> {
       const std::string_view payload = path == "/v1/query"        ? "query"
                                        : path == "/v1/executions" ? "body"
                                                                   : "";
       BOOST_LEAF_AUTO(fields, ParseFields(aRequest, payload));
+      // An earlier copy of a request with a ticket may have run, which the router
+      // decides without configuration.
+      if (!mMayServe() && !fields.mTicket) {
+        return Fail({ Step::Configuration, {}, Outcome::NotRun, "this VM is starting" });
+      }
       if (path == "/v1/query") {
         mQueries.Run({ fields.mProfile, fields.mCaller, std::move(fields.mPayload),
                        fields.mDeadline },
@@ -270,7 +274,7 @@
       return 0;
     },
     [&](const Error& aError) {
-      aRespond(RefusalResponse(400, aError));
+      aRespond(RefusalResponse(aError.mStep == Step::Configuration ? 503 : 400, aError));
       return 0;
     });
 }
--- a/src/wasabispar/app/query_service.cpp
+++ b/src/wasabispar/app/query_service.cpp
@@ -230,9 +230,9 @@
     } else if (const auto* timer = std::get_if<ArmTimer>(&action)) {
       const auto delay = std::max<Duration>(timer->mAt - mContext.mNow(), Duration{ 1 });
       aRunning->mTimer =
-        aRunning->mWorker.Timers().After(delay, [this, weak = std::weak_ptr(aRunning)] {
-          const auto running = weak.lock();
-          if (running && running->mQuery && !running->mQuery->IsFinished()) {
+        aRunning->mWorker.Timers().After(delay, [this, running = aRunning] {
+          // The timer keeps the query alive while no sub-request runs.
+          if (!running->mQuery->IsFinished()) {
             Apply(running, running->mQuery->OnTimer(mContext.mNow()));
           }
         });
