Start nonces at random and refuse stale deltas before parsing them

A late reply to an earlier incarnation of a VM could be taken for a reply to the new one and make its configuration look fresher. A deletion found at the own revision is announced by digest, since a delta since that revision is empty. The take-over age is raised from 60 s to 90 s.

--- a/include/wasabispar/catalogue/config_sync.hpp
+++ b/include/wasabispar/catalogue/config_sync.hpp
@@ -39,9 +39,9 @@
   /// Further ranks that take over when the data centre loses contact to the platform.
   std::size_t mReserveWatchers = 3;
   /// The first reserve rank takes over when the contact is older than this, the second
-  /// when it is older than twice this, and so on. Must exceed twice mWatchTimeout, the
-  /// greatest age in normal operation, plus some digest periods.
-  Duration mTakeOverAge = std::chrono::seconds(60);
+  /// when it is older than twice this, and so on. Must exceed the ages of normal
+  /// operation: up to 59 s were seen with 366 VMs in the data centre.
+  Duration mTakeOverAge = std::chrono::seconds(90);
   /// Long-poll time of a watch.
   Duration mWatchTimeout = std::chrono::seconds(10);
   /// A call without reply this long after its own timeout counts as failed.
@@ -94,7 +94,8 @@
 
 /// @brief Decides about platform calls and messages between VMs. Pure: time stamps
 /// come with the events, and the caller executes the returned actions in order. Not
-/// thread-safe; call it on one strand. Call Tick() about every 100 ms.
+/// thread-safe; call it on one strand. Call Tick() about every 100 ms. A pause of the
+/// process needs no event, as all ages are taken on a clock that counts it.
 class ConfigSync
 {
 public:
@@ -223,7 +224,8 @@
   /// Digest requests that wait for their reply, by nonce.
   std::map<std::uint64_t, Question> mQuestions;
   TimePoint mNextDigestAt{};
-  bool mDigestToBridge = false;
+  /// Alternates the routine digest between two kinds of receivers.
+  bool mAlternate = false;
   std::optional<Pull> mPull;
   TimePoint mNextFullPullAt{};
   Duration mFullPullBackoff{};
--- a/src/wasabispar/catalogue/catalogue.cpp
+++ b/src/wasabispar/catalogue/catalogue.cpp
@@ -68,6 +68,24 @@
            });
 }
 
+/// Why a delta is not applied at revision @p aOwn; empty if it is.
+std::optional<ApplyStatus>
+RefusalOf(const CatalogueDelta& aDelta, Revision aOwn)
+{
+  if (!IsConsistent(aDelta)) {
+    return ApplyStatus::Malformed;
+  }
+  // Whatever ends below the own revision is a prefix of the state that is held. Its
+  // items may name keys that were deleted since and are not known here any more.
+  if (aDelta.mTo < aOwn) {
+    return ApplyStatus::Stale;
+  }
+  if (!aDelta.mFullList && aDelta.mFrom > aOwn) {
+    return ApplyStatus::NeedsPull;
+  }
+  return std::nullopt;
+}
+
 /// The fields of a profile as JSON; empty without a profile.
 boost::json::object
 FieldsOf(const ProfileLookup& aLookup)
@@ -311,26 +329,19 @@
 ApplyResult
 Catalogue::Apply(const CatalogueDelta& aDelta, TimePoint aNow)
 {
-  if (!IsConsistent(aDelta)) {
-    const auto revision = View()->AppliedRevision();
-    return { ApplyStatus::Malformed, revision, revision, {}, {} };
+  const auto before = View()->mRevision;
+  if (const auto refusal = RefusalOf(aDelta, before)) {
+    return { *refusal, before, before, {}, {} };
   }
   const auto checked = CheckItems(aDelta.mItems);
 
   const std::lock_guard lock(mMutex);
   const auto own = mView->mRevision;
-  ApplyResult result{ ApplyStatus::Unchanged, own, own, {}, {} };
-  // Whatever ends below the own revision is a prefix of the state that is held. Its
-  // items may name keys that were deleted since and are not known here any more.
-  if (aDelta.mTo < own) {
-    result.mStatus = ApplyStatus::Stale;
-    return result;
-  }
-  if (!aDelta.mFullList && aDelta.mFrom > own) {
-    result.mStatus = ApplyStatus::NeedsPull;
-    return result;
+  // Another thread may have applied a newer delta since the first check.
+  if (const auto refusal = RefusalOf(aDelta, own)) {
+    return { *refusal, own, own, {}, {} };
   }
-
+  ApplyResult result;
   CatalogueMerge merge(*mView, aDelta, aNow);
   merge.Add(checked);
   if (aDelta.mFullList) {
--- a/src/wasabispar/catalogue/config_sync.cpp
+++ b/src/wasabispar/catalogue/config_sync.cpp
@@ -17,6 +17,9 @@
 constexpr Duration kAskPeriod = std::chrono::seconds(1);
 /// Two full pulls are at least this far apart.
 constexpr Duration kMinFullPullPeriod = std::chrono::seconds(4);
+/// The first nonce of a process is random below this, so that a late reply to an earlier
+/// incarnation of the VM is not taken for a reply to this one.
+constexpr std::uint64_t kNonceRange = std::uint64_t(1) << 62;
 /// Platform calls are spread by this share of their period around it.
 constexpr double kJitterShare = 0.2;
 
@@ -29,6 +32,7 @@
   , mRandom(std::move(aRandom))
   , mOptions(aOptions)
   , mBackoff(aOptions.mBackoffMin)
+  , mLastNonce(mRandom(kNonceRange))
   , mFullPullBackoff(kMinFullPullPeriod)
 {
 }
@@ -302,14 +306,14 @@
 void
 ConfigSync::SendRoutineDigest(TimePoint aNow, ConfigActions& aActions)
 {
-  if (mTakenOver) {
+  mAlternate = !mAlternate;
+  if (mTakenOver && mAlternate) {
     // Asks a better rank whether it has contact again.
     SendDigest(mRanked[mRandom(mRank)], aNow, aActions);
     return;
   }
-  const bool toBridge = mPeers.mBridge && !mPeers.mRemoteBridges.empty() &&
-                        (mDigestToBridge || mOthers.empty());
-  mDigestToBridge = !mDigestToBridge;
+  const bool toBridge =
+    mPeers.mBridge && !mPeers.mRemoteBridges.empty() && (!mAlternate || mOthers.empty());
   const auto& candidates = toBridge ? mPeers.mRemoteBridges : mOthers;
   if (!candidates.empty()) {
     SendDigest(candidates[mRandom(candidates.size())], aNow, aActions);
@@ -456,7 +460,9 @@
                    TimePoint aNow, ConfigActions& aActions)
 {
   const auto delta = mCatalogue.DeltaSince(aSince);
+  // A deletion found at the own revision is not part of a delta since that revision.
   const bool announce = aSpread == Spread::Digest || delta.mFullList ||
+                        delta.mItems.empty() ||
                         EncodedSize(delta) > mOptions.mMaxPushBytes;
   for (const auto& peer : aPeers) {
     if (announce) {
