--- a/src/wasabispar/fleet/membership_test.cpp
+++ b/src/wasabispar/fleet/membership_test.cpp
@@ -314,7 +314,9 @@
     fleet.mFaults = { 30, 30, 500us, 20ms };
     Fill(fleet, count);
     std::map<int, std::uint64_t> incarnations;
-    for (const auto& [kind, value] : steps) {
+    for (const auto& step : steps) {
+      const int kind = step.first;
+      const int value = step.second;
       const int index = value % count;
       auto& vm = fleet.At(Name(index));
       if (kind == 0 && vm.mIsRunning) {
--- a/src/wasabispar/fleet/ownership_test.cpp
+++ b/src/wasabispar/fleet/ownership_test.cpp
@@ -192,9 +192,10 @@
       view.mJoinedAt = aVm.mJoinedAt;
     }
     Add(view, aVm.mId, MemberState::Alive, mNow, std::nullopt);
-    for (const auto& [id, known] : aVm.mKnown) {
+    for (const auto& entry : aVm.mKnown) {
+      const auto& id = entry.first;
       const Knowledge* latest = nullptr;
-      for (const auto& item : known) {
+      for (const auto& item : entry.second) {
         if (item.mFrom <= mNow && (!latest || item.mFrom >= latest->mFrom)) {
           latest = &item;
         }
--- a/src/wasabispar/net/fleet_transport.cpp
+++ b/src/wasabispar/net/fleet_transport.cpp
@@ -101,22 +101,23 @@
     void Enqueue(Outgoing aMessage)
     {
       bool starts = false;
-      bool isTaken = false;
       {
         const std::lock_guard lock(mMutex);
-        isTaken = !mIsClosed && HasRoom(aMessage.mBytes.size());
-        if (isTaken) {
+        if (!mIsClosed && HasRoom(aMessage.mBytes.size())) {
           mQueuedBytes += aMessage.mBytes.size();
-          mQueue.push_back(std::move(aMessage));
+          mQueue.push_back(std::exchange(aMessage, {}));
           starts = !std::exchange(mIsBusy, true);
+          if (!starts) {
+            return;
+          }
         }
       }
-      if (!isTaken) {
-        ++mOwner.mQueueFull;
-        mOwner.Report(std::move(aMessage.mOnSent), false);
-      } else if (starts) {
+      if (starts) {
         SendNext();
+        return;
       }
+      ++mOwner.mQueueFull;
+      mOwner.Report(std::move(aMessage.mOnSent), false);
     }
 
     bool HasRoom(std::size_t aBytes) const
