--- a/src/wasabispar/query/policy_test.cpp
+++ b/bench/query_policy.cpp
@@ -1,15 +1,16 @@
 /// @file
 /// @brief Measures the hedging policies in virtual time: one VM, one index, 15 shards
-/// with 2 replicas each. Prints a table; the p99 and extra load that the design requires
-/// are checked.
+/// with 2 replicas each. Prints a table and fails when the default policy misses the p99,
+/// the extra load or the coverage that the design requires.
+///
+///     query_policy [--full]
+///
+/// Without --full only the naive and the default policy run, on fewer queries.
 #include "wasabispar/base/hash.hpp"
 #include "wasabispar/query/query.hpp"
 
-#include <doctest/doctest.h>
-
 #include <algorithm>
 #include <cmath>
-#include <cstdlib>
 #include <deque>
 #include <iomanip>
 #include <iostream>
@@ -343,60 +344,90 @@
   return out.str();
 }
 
-} // namespace
+const Policy kNaive{ "naive wait-for-all", true, 0, {}, 0, false };
+const Policy kDefault{ "estimated p97, budget 50", false, 970, {}, 50, true };
 
-TEST_CASE("hedging halves the p99 under stragglers with at most 5% extra load")
+std::vector<Policy>
+Policies(bool aFull)
 {
-  // Guards against a hedge delay or budget that misses the targets of the design page.
-  // WASABISPAR_POLICY_TABLE=1 compares all policies over more queries.
-  const bool full = std::getenv("WASABISPAR_POLICY_TABLE") != nullptr;
-  const int queries = full ? 10'000 : 2'000;
-  const Policy naive{ "naive wait-for-all", true, 0, {}, 0, false };
-  const Policy chosen{ "estimated p97, budget 50", false, 970, {}, 50, true };
-  std::vector<Policy> policies{ naive, chosen };
-  if (full) {
-    const std::vector<Policy> others{
-      { "no hedging, retries", false, 0, {}, 50, true },
-      { "no hedging, no forced retries, budget 0", false, 0, {}, 0, false },
-      { "no hedging, forced retries, budget 0", false, 0, {}, 0, true },
-      { "fixed 10 ms", false, 0, 10ms, 50, true },
-      { "fixed 40 ms", false, 0, 40ms, 50, true },
-      { "estimated p90, budget 50", false, 900, {}, 50, true },
-      { "estimated p95, budget 50", false, 950, {}, 50, true },
-      { "estimated p99, budget 50", false, 990, {}, 50, true },
-      { "estimated p95, budget 20", false, 950, {}, 20, true },
-      { "estimated p95, budget 100", false, 950, {}, 100, true },
-    };
-    policies.insert(policies.end(), others.begin(), others.end());
+  if (!aFull) {
+    return { kNaive, kDefault };
   }
-  const Scenario stragglers{ "stragglers 2%" };
+  return {
+    kNaive,
+    kDefault,
+    { "no hedging, retries", false, 0, {}, 50, true },
+    { "no hedging, no forced retries, budget 0", false, 0, {}, 0, false },
+    { "no hedging, forced retries, budget 0", false, 0, {}, 0, true },
+    { "fixed 10 ms", false, 0, 10ms, 50, true },
+    { "fixed 40 ms", false, 0, 40ms, 50, true },
+    { "estimated p90, budget 50", false, 900, {}, 50, true },
+    { "estimated p95, budget 50", false, 950, {}, 50, true },
+    { "estimated p99, budget 50", false, 990, {}, 50, true },
+    { "estimated p95, budget 20", false, 950, {}, 20, true },
+    { "estimated p95, budget 100", false, 950, {}, 100, true },
+  };
+}
+
+/// The scenarios that the requirements apply to come first.
+constexpr std::size_t kRequired = 5;
+
+std::vector<Scenario>
+Scenarios(bool aFull)
+{
   std::vector<Scenario> scenarios{
     { "calm", 4ms, 0 },
-    stragglers,
+    { "stragglers 2%", 4ms, 20 },
     { "stragglers 2%, 1 replica lost", 4ms, 20, 1 },
     { "stragglers 2%, 8 replicas lost", 4ms, 20, 8 },
     { "overload, stragglers 2%", 700us, 20 },
   };
-  const auto required = scenarios.size();
-  if (full) {
+  if (aFull) {
     scenarios.push_back({ "resets 2%", 4ms, 0, 0, 20 });
     scenarios.push_back({ "resets 10%", 4ms, 0, 0, 100 });
   }
-  std::map<std::string, std::map<std::string, Figures>> all;
-  std::cout << "| scenario | policy | p50 ms | p99 ms | coverage | complete | extra |\n";
-  for (const auto& scenario : scenarios) {
-    for (const auto& policy : policies) {
-      const auto figures = Harness(policy, scenario, queries).Run();
-      all[scenario.mName][policy.mName] = figures;
-      std::cout << Line(scenario, policy, figures);
+  return scenarios;
+}
+
+/// Prints what the default policy misses; returns whether it meets all requirements.
+bool
+Meets(const Scenario& aScenario, const Figures& aNaive, const Figures& aDefault)
+{
+  bool meets = true;
+  const auto require = [&](bool aHolds, const char* aWhat) {
+    if (!aHolds) {
+      std::cout << "missed: " << aWhat << " in " << aScenario.mName << "\n";
+      meets = false;
     }
+  };
+  require(aDefault.mExtra <= 0.05, "extra load at most 5%");
+  require(aDefault.mCoverage >= aNaive.mCoverage, "coverage no lower than naive");
+  if (aScenario.mName == "stragglers 2%") {
+    require(aDefault.mP99 <= 0.5 * aNaive.mP99, "p99 at most half of naive");
   }
-  for (std::size_t i = 0; i < required; ++i) {
-    auto& row = all[scenarios[i].mName];
-    CAPTURE(scenarios[i].mName);
-    CHECK(row[chosen.mName].mExtra <= 0.05);
-    CHECK(row[chosen.mName].mCoverage >= row[naive.mName].mCoverage);
+  return meets;
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  const bool full = aCount > 1 && std::string_view(aArguments[1]) == "--full";
+  const int queries = full ? 10'000 : 2'000;
+  bool meets = true;
+  std::cout << "| scenario | policy | p50 ms | p99 ms | coverage | complete | extra |\n"
+            << "| --- | --- | --- | --- | --- | --- | --- |\n";
+  const auto scenarios = Scenarios(full);
+  for (std::size_t i = 0; i < scenarios.size(); ++i) {
+    std::map<std::string, Figures> row;
+    for (const auto& policy : Policies(full)) {
+      row[policy.mName] = Harness(policy, scenarios[i], queries).Run();
+      std::cout << Line(scenarios[i], policy, row[policy.mName]) << std::flush;
+    }
+    meets =
+      (i >= kRequired || Meets(scenarios[i], row[kNaive.mName], row[kDefault.mName])) &&
+      meets;
   }
-  auto& row = all[stragglers.mName];
-  CHECK(row[chosen.mName].mP99 <= 0.5 * row[naive.mName].mP99);
+  return meets ? 0 : 1;
 }
--- a/src/wasabispar/upstream/crash_tracker_test.cpp
+++ b/src/wasabispar/upstream/crash_tracker_test.cpp
@@ -6,6 +6,8 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <atomic>
+#include <thread>
 
 using namespace wasabispar;
 using namespace std::chrono_literals;
@@ -222,3 +224,30 @@
   tracker.OnFact({ kBad, false, { UpstreamId("b") }, { kShard }, 1min }, now);
   CHECK(tracker.Judge(kBad, now + 3s) == CrashVerdict::Quarantined);
 }
+
+TEST_CASE("two workers never run a suspect at the same time")
+{
+  // Guards against a second upstream lost because two workers judged before either
+  // started; run it under TSAN.
+  CrashTracker tracker;
+  const TimePoint now{ 100s };
+  tracker.OnFact({ kBad, false, { UpstreamId("a") }, { kShard, ShardId("t") }, 1min },
+                 now);
+  std::atomic<int> running = 0;
+  std::atomic<int> worst = 0;
+  const auto work = [&](std::uint64_t aFirst) {
+    for (std::uint64_t i = aFirst; i < aFirst + 2000; ++i) {
+      const auto verdict = tracker.TryStart(i, UpstreamId("b"), kBad, kShard, now + 5s);
+      if (verdict == CrashVerdict::RunAlone) {
+        worst = std::max(worst.load(), ++running);
+        --running;
+        tracker.OnEnded(i, ExchangeStatus::Shed, now + 5s);
+      }
+    }
+  };
+  {
+    std::jthread first(work, 1);
+    std::jthread second(work, 10'000);
+  }
+  CHECK(worst == 1);
+}
--- a/src/wasabispar/upstream/upstream_table_test.cpp
+++ b/src/wasabispar/upstream/upstream_table_test.cpp
@@ -178,6 +178,7 @@
 {
   // Guards against a lost update under the shard locks; run it under TSAN.
   UpstreamTable table;
+  const SnapshotDirectory directory(table);
   const TimePoint now{ 1s };
   for (int i = 0; i < 8; ++i) {
     table.OnDeclared(DeclarationOf(UpstreamId("u" + std::to_string(i)), false), now);
@@ -191,6 +192,8 @@
       }
       if (i % 100 == 0) {
         table.GroupLatency(IndexName("idx"), Permille(950), now);
+        table.OnReport(id, ReportOf(false), now, now);
+        directory.Choose(IndexName("idx"), Permille(1000), now);
       }
     }
   };
