Share the random generator between the copies of query hooks

Each query copied the hooks and with them the state of the generator, so all queries made the same first draws and power of two choices lost its effect for shards with more than two replicas. The copies of one set now share it, and the latency estimate is cached for 50 ms.

--- a/include/wasabispar/query/query.hpp
+++ b/include/wasabispar/query/query.hpp
@@ -79,7 +79,10 @@
 QueryHooks
 DefaultQueryHooks();
 
-/// @brief Hooks on the parts of this process, all of which outlive the query.
+/// @brief Hooks on the parts of this process, all of which outlive the query. Copies
+/// share the random generator and the latency estimates, so that queries make independent
+/// choices; they are not thread-safe: make one set for each worker and copy it into each
+/// query.
 /// @p aQuantile is the latency quantile after which a sub-request is hedged; for the
 /// default see docs/decisions/hedge-delay-and-budget.md.
 QueryHooks
--- a/src/wasabispar/query/query_hooks.cpp
+++ b/src/wasabispar/query/query_hooks.cpp
@@ -7,6 +7,27 @@
 
 namespace wasabispar {
 
+namespace {
+
+/// The estimate merges the histograms of all shards of the table, which costs some ten
+/// microseconds, and changes little in this time.
+constexpr Duration kEstimateLife = std::chrono::milliseconds(50);
+
+/// What the copies of one set of hooks share.
+struct SharedState
+{
+  struct Estimate
+  {
+    TimePoint mAt;
+    std::optional<Duration> mDelay;
+  };
+
+  RandomFn mRandom;
+  std::map<IndexName, Estimate> mEstimates;
+};
+
+} // namespace
+
 QueryHooks
 DefaultQueryHooks()
 {
@@ -30,12 +51,19 @@
                LoadBudget& aBudget, RandomFn aRandom, Permille aQuantile)
 {
   QueryHooks hooks;
-  hooks.mChooseReplica = [&aTable, &aDirectory, random = std::move(aRandom)](
-                           const ReplicaRequest& aRequest, TimePoint aNow) mutable {
-    return ChooseReplica(aDirectory, aTable, aRequest, random, aNow);
+  const auto shared = std::make_shared<SharedState>();
+  shared->mRandom = std::move(aRandom);
+  hooks.mChooseReplica = [&aTable, &aDirectory, shared](const ReplicaRequest& aRequest,
+                                                        TimePoint aNow) {
+    return ChooseReplica(aDirectory, aTable, aRequest, shared->mRandom, aNow);
   };
-  hooks.mHedgeDelay = [&aTable, aQuantile](const IndexName& aIndex, TimePoint aNow) {
-    return aTable.GroupLatency(aIndex, aQuantile, aNow);
+  hooks.mHedgeDelay = [&aTable, aQuantile, shared](const IndexName& aIndex,
+                                                   TimePoint aNow) {
+    auto& estimate = shared->mEstimates[aIndex];
+    if (aNow < estimate.mAt || aNow - estimate.mAt >= kEstimateLife) {
+      estimate = { aNow, aTable.GroupLatency(aIndex, aQuantile, aNow) };
+    }
+    return estimate.mDelay;
   };
   hooks.mTakeBudget = [&aBudget](ExtraLoad aKind, TimePoint aNow) {
     return aBudget.TryTake(aKind, aNow);
