--- a/tests/failure/standin_upstream_test.cpp
+++ b/tests/failure/standin_upstream_test.cpp
@@ -297,6 +297,8 @@
   };
   CHECK(post(2s) == HttpExchangeEnd::Response);
   KeptConnection kept(relay.Address());
+  // The relay has accepted a connection for certain only after an exchange on it.
+  CHECK(kept.Post("/search", SearchBody()).mEnd == HttpExchangeEnd::Response);
   relay.SilenceOpenConnections();
   CHECK(kept.Post("/search", SearchBody(), 200ms).mEnd == HttpExchangeEnd::TimedOut);
   CHECK(post(2s) == HttpExchangeEnd::Response);
