--- a/src/wasabispar/app/upstream_service.cpp
+++ b/src/wasabispar/app/upstream_service.cpp
@@ -269,7 +269,7 @@
       done({ HttpExchangeEnd::ConnectFailed, {}, "no VM holds connections" });
       return;
     }
-    mHooks.mForward(*owner, aSearch, std::move(done));
+    mHooks.mForward(aHandle, *owner, aSearch, std::move(done));
     return;
   }
   SearchForPeer(aHandle, std::move(aSearch), std::move(done));
@@ -378,6 +378,7 @@
       pool->Cancel(aHandle);
     }
   });
+  mHooks.mForwardCancel(aHandle);
 }
 
 std::optional<UpstreamId>
@@ -644,6 +645,7 @@
   } else if (aFact.mKey.starts_with(kCrashFactPrefix)) {
     if (const auto fact = DecodeCrashFact(aFact)) {
       mCrashes.OnFact(*fact, now);
+      mHooks.mOnCrashFact(*fact);
     }
   }
 }
@@ -665,6 +667,7 @@
              fact.mQuarantined ? "request-quarantined" : "request-suspect",
              { { "fingerprint", fact.mFingerprint.Value() },
                { "upstreams", std::uint64_t{ fact.mUpstreams.size() } } });
+    mHooks.mOnCrashFact(fact);
     mHooks.mPublish(CrashFactKey(fact), EncodeCrashFact(fact), fact.mTimeToLive);
   }
 }
--- a/src/wasabispar/net/platform_client.cpp
+++ b/src/wasabispar/net/platform_client.cpp
@@ -182,10 +182,13 @@
   ++mCalls;
   HttpRequest request;
   request.mTarget = "/v1/vms";
+  const auto body = [](const std::string& aBody, const std::string&) {
+    return Result<std::string>(aBody);
+  };
   HttpFetch(
     mContext, mPlatform, std::move(request), kCallTimeout,
-    [peer = mPlatform.Text(), done = std::move(aDone)](HttpExchangeResult aResult) {
-      Deliver<PlatformInventory>(aResult, peer, ParsePlatformInventory, done);
+    [peer = mPlatform.Text(), done = std::move(aDone), body](HttpExchangeResult aResult) {
+      Deliver<std::string>(aResult, peer, body, done);
     });
 }
 
--- a/src/wasabispar/query/query.cpp
+++ b/src/wasabispar/query/query.cpp
@@ -63,12 +63,16 @@
 {
   Actions actions;
   const bool known = aReply.mSub >= 1 && aReply.mSub <= mExplain.mSubs.size();
-  if (mFinished || !known || mExplain.mSubs[aReply.mSub - 1].mFate != SubFate::Open) {
+  const bool waited = known && mExplain.mSubs[aReply.mSub - 1].mFate == SubFate::Open;
+  if (!waited || mFinished) {
     ++mExplain.mIgnoredReplies;
-    return actions;
+  } else {
+    Settle(aReply, mExplain.mSubs[aReply.mSub - 1], aNow, actions);
+  }
+  // A reply that is ignored may still be the first event after the target or deadline.
+  if (mStarted && !mFinished) {
+    Advance(aNow, actions);
   }
-  Settle(aReply, mExplain.mSubs[aReply.mSub - 1], aNow, actions);
-  Advance(aNow, actions);
   return actions;
 }
 
@@ -94,7 +98,7 @@
     return actions;
   }
   mSnapshotGone = true;
-  mRecheckAt = aNow;
+  mReplanAt = aNow;
   Advance(aNow, actions);
   return actions;
 }
@@ -129,18 +133,20 @@
     FinishNow(aNow, aActions);
     return;
   }
+  if (mSnapshotGone && mReplanAt <= aNow) {
+    if (TryReplan(aNow, aActions)) {
+      return;
+    }
+    mReplanAt = aNow + kRecheck;
+  }
   if (mPlan.mIsolated) {
     AdvanceIsolated(aNow, aActions);
   } else {
     AdvanceShards(aNow, aActions);
   }
-  const bool recheck = mRecheckAt && *mRecheckAt <= aNow;
-  if (recheck) {
+  if (mRecheckAt && *mRecheckAt <= aNow) {
     mRecheckAt.reset();
   }
-  if (mSnapshotGone && recheck && TryReplan(aNow, aActions)) {
-    return;
-  }
   if (MayFinish(aNow)) {
     FinishNow(aNow, aActions);
     return;
@@ -203,17 +209,17 @@
 Query::TryRetry(const ShardId& aShard, ShardState& aState, TimePoint aNow,
                 Actions& aActions)
 {
-  auto choice = Choose(aShard, aState, true, aNow);
+  auto choice = Choose(aShard, aState, false, aNow);
   if (!choice.mUpstream) {
     return;
   }
   auto kind = SubKind::Retry;
   if (!mHooks.mTakeBudget(ExtraLoad::Retry, aNow)) {
-    if (aState.mTried.size() > 1) {
+    const bool first = aState.mTried.size() == 1 && aState.mMayForce;
+    if (!first || !mHooks.mTakeForced(aNow)) {
       return;
     }
     kind = SubKind::ForcedRetry;
-    mHooks.mCountForced(1);
   }
   ++aState.mRetries;
   Send(aShard, aState, kind, aState.mWhy, std::move(choice), aNow, aActions);
@@ -228,7 +234,7 @@
   }
   auto choice = Choose(aShard, aState, true, aNow);
   if (!choice.mUpstream || !mHooks.mTakeBudget(ExtraLoad::Hedge, aNow)) {
-    aState.mHedgeAt = aNow + *mHedgeDelay;
+    aState.mHedgeAt = aNow + std::max(*mHedgeDelay, kRecheck);
     return;
   }
   aState.mHedged = true;
@@ -254,6 +260,9 @@
   for (auto& [shard, state] : mShards) {
     CancelOpen(state, aNow, aActions);
   }
+  for (auto& sub : mExplain.mSubs) {
+    sub.mFate = sub.mFate == SubFate::Counted ? SubFate::Discarded : sub.mFate;
+  }
   ++mReplans;
   mPlan.mSnapshot = std::move(*snapshot);
   BeginVersion(aNow, aActions);
@@ -284,7 +293,7 @@
 }
 
 ReplicaChoice
-Query::Choose(const ShardId& aShard, const ShardState& aState, bool aExtra,
+Query::Choose(const ShardId& aShard, const ShardState& aState, bool aHedge,
               TimePoint aNow) const
 {
   ReplicaRequest request;
@@ -292,7 +301,7 @@
   request.mVersion = mPlan.mSnapshot.mVersion;
   request.mShard = aShard;
   request.mTried = aState.mTried;
-  request.mExtra = aExtra;
+  request.mHedge = aHedge;
   request.mIsolated = mPlan.mIsolated;
   return mHooks.mChooseReplica(request, aNow);
 }
@@ -318,6 +327,7 @@
                  ? "answered version " + std::to_string(aReply.mVersion.Value()) +
                      " shard " + aReply.mShard.Text() + " by " + aSub.mUpstream.Text()
                  : By(aReply.mStatus, aSub.mUpstream);
+  state.mMayForce = aReply.mStatus != ExchangeStatus::Shed;
   if (!mismatch && !IsRetryable(aReply.mStatus, mPlan.mIdempotent)) {
     state.mMayRetry = false;
   }
@@ -329,7 +339,7 @@
   }
   if (state.mOpen.empty() && aReply.mStatus == ExchangeStatus::VersionGone) {
     mSnapshotGone = true;
-    mRecheckAt = aNow;
+    mReplanAt = aNow;
   }
 }
 
@@ -368,10 +378,10 @@
   if (aNow >= mPlan.mDeadline || mCoverage.IsComplete()) {
     return true;
   }
-  const bool hopeless =
-    !mSnapshotGone && std::ranges::none_of(mShards, [&](const auto& aItem) {
-      return !aItem.second.mCovered && MayStillAnswer(aItem.second);
-    });
+  const bool hopeless = (!mSnapshotGone || mReplans >= kMaxReplans) &&
+                        std::ranges::none_of(mShards, [&](const auto& aItem) {
+                          return !aItem.second.mCovered && MayStillAnswer(aItem.second);
+                        });
   if (hopeless) {
     return true;
   }
@@ -445,14 +455,19 @@
   if (mPlan.mPolicy == PartialPolicy::AnswerAtTarget && aNow < mPlan.mTarget) {
     Earlier(next, mPlan.mTarget);
   }
-  bool idle = mSnapshotGone;
+  if (mSnapshotGone && mReplans < kMaxReplans) {
+    Earlier(next, mReplanAt);
+  }
+  bool idle = false;
+  bool open = false;
   for (const auto& [shard, state] : mShards) {
     idle = idle || (!state.mCovered && state.mOpen.empty() && MayStillAnswer(state));
+    open = open || !state.mOpen.empty();
     if (MayHedge(state)) {
       Earlier(next, *state.mHedgeAt);
     }
   }
-  if (idle && !mRecheckAt) {
+  if (idle && !mRecheckAt && !(open && mPlan.mIsolated)) {
     mRecheckAt = aNow + kRecheck;
   }
   if (mRecheckAt) {
--- a/tests/failure/daemon_fixture.cpp
+++ b/tests/failure/daemon_fixture.cpp
@@ -81,7 +81,9 @@
 SmallSystem::MaxConnections()
 {
   std::uint64_t most = 0;
-  for (const auto& entry : Upstream().Record().at("instances").as_array()) {
+  // Named, because a range-for does not extend the life of an inner temporary.
+  const auto record = Upstream().Record();
+  for (const auto& entry : record.at("instances").as_array()) {
     most = std::max(most, RecordNumber(entry.as_object(), "connections_max"));
   }
   return most;
@@ -91,7 +93,9 @@
 SmallSystem::RefusedConnections()
 {
   std::uint64_t refused = 0;
-  for (const auto& entry : Upstream().Record().at("instances").as_array()) {
+  // Named, because a range-for does not extend the life of an inner temporary.
+  const auto record = Upstream().Record();
+  for (const auto& entry : record.at("instances").as_array()) {
     refused += RecordNumber(entry.as_object(), "connections_refused");
   }
   return refused;
