--- a/src/wasabispar/net/fleet_transport_test.cpp
+++ b/src/wasabispar/net/fleet_transport_test.cpp
@@ -114,7 +114,7 @@
 };
 
 std::string
-Bytes(const std::string& aSender, std::uint64_t aIncarnation, std::uint64_t aCorrelation,
+MessageBytes(const std::string& aSender, std::uint64_t aIncarnation, std::uint64_t aCorrelation,
       std::string aBody = {})
 {
   const FleetEnvelope envelope{
@@ -151,8 +151,8 @@
   std::atomic<int> sent{ 0 };
   for (std::uint64_t i = 0; i < 500; ++i) {
     const auto count = [&sent](bool aIsSent) { sent += aIsSent ? 1 : 0; };
-    left.mTransport.Send(right.Endpoint(), Bytes("left", 2, i), count);
-    right.mTransport.Send(left.Endpoint(), Bytes("right", 2, i), count);
+    left.mTransport.Send(right.Endpoint(), MessageBytes("left", 2, i), count);
+    right.mTransport.Send(left.Endpoint(), MessageBytes("right", 2, i), count);
   }
   REQUIRE(WaitFor([&] { return left.Count() == 500 && right.Count() == 500; }));
   REQUIRE(WaitFor([&] { return sent == 1000; }));
@@ -178,7 +178,7 @@
   std::atomic<int> failed{ 0 };
   const auto start = BootClock::now();
   for (int i = 0; i < 20; ++i) {
-    node.mTransport.Send(endpoint, Bytes("left", 2, 1),
+    node.mTransport.Send(endpoint, MessageBytes("left", 2, 1),
                          [&](bool aIsSent) { failed += aIsSent ? 0 : 1; });
   }
   REQUIRE(WaitFor([&] { return failed == 20; }));
@@ -196,12 +196,12 @@
   auto peer = std::make_unique<Node>();
   peer->Start();
   const auto endpoint = peer->Endpoint();
-  node.mTransport.Send(endpoint, Bytes("left", 2, 1));
+  node.mTransport.Send(endpoint, MessageBytes("left", 2, 1));
   REQUIRE(WaitFor([&] { return peer->Count() == 1; }));
   peer = std::make_unique<Node>();
   peer->Start(endpoint);
   REQUIRE(WaitFor([&] {
-    node.mTransport.Send(endpoint, Bytes("left", 2, 2));
+    node.mTransport.Send(endpoint, MessageBytes("left", 2, 2));
     std::this_thread::sleep_for(20ms);
     return peer->Count() > 0;
   }));
@@ -214,10 +214,10 @@
   Node peer;
   node.Start();
   peer.Start();
-  node.mTransport.Send(peer.Endpoint(), Bytes("stranger", 2, 1));
-  node.mTransport.Send(peer.Endpoint(), Bytes("old", 1, 2));
+  node.mTransport.Send(peer.Endpoint(), MessageBytes("stranger", 2, 1));
+  node.mTransport.Send(peer.Endpoint(), MessageBytes("old", 1, 2));
   node.mTransport.Send(peer.Endpoint(), "no message");
-  node.mTransport.Send(peer.Endpoint(), Bytes("known", 2, 3));
+  node.mTransport.Send(peer.Endpoint(), MessageBytes("known", 2, 3));
   REQUIRE(WaitFor([&] { return peer.Count() == 1; }));
   CHECK(peer.mReceived.front().mCorrelation == 3);
   CHECK(peer.mTransport.Counters().mNotAccepted == 2);
@@ -234,7 +234,7 @@
   std::atomic<int> failed{ 0 };
   for (int i = 0; i < 100; ++i) {
     // No VM listens on the discard port of the loopback interface.
-    node.mTransport.Send("tcp://127.0.0.1:9", Bytes("left", 2, 1),
+    node.mTransport.Send("tcp://127.0.0.1:9", MessageBytes("left", 2, 1),
                          [&](bool aIsSent) { failed += aIsSent ? 0 : 1; });
   }
   CHECK(node.mTransport.Counters().mQueueFull >= 89);
@@ -271,9 +271,9 @@
     std::atomic<bool> isDone{ false };
     std::thread sender([&] {
       for (std::uint64_t i = 0; !isDone; ++i) {
-        left.mTransport.Send(endpoint, Bytes("left", 2, i, std::string(2000, 'x')),
+        left.mTransport.Send(endpoint, MessageBytes("left", 2, i, std::string(2000, 'x')),
                              [](bool) {});
-        right->mTransport.Send(left.Endpoint(), Bytes("right", 2, i), [](bool) {});
+        right->mTransport.Send(left.Endpoint(), MessageBytes("right", 2, i), [](bool) {});
         if (i % 50 == 0) {
           std::this_thread::sleep_for(1ms);
         }
