--- a/src/wasabispar/net/fleet_transport_test.cpp
+++ b/src/wasabispar/net/fleet_transport_test.cpp
@@ -114,8 +114,8 @@
 };
 
 std::string
-MessageBytes(const std::string& aSender, std::uint64_t aIncarnation, std::uint64_t aCorrelation,
-      std::string aBody = {})
+MessageBytes(const std::string& aSender, std::uint64_t aIncarnation,
+             std::uint64_t aCorrelation, std::string aBody = {})
 {
   const FleetEnvelope envelope{
     VmId(aSender), Incarnation(aIncarnation), DataCentreId("dc"), aCorrelation,
