--- a/src/wasabispar/upstream/crash_tracker_test.cpp
+++ b/src/wasabispar/upstream/crash_tracker_test.cpp
@@ -240,6 +240,7 @@
       const auto verdict = tracker.TryStart(i, UpstreamId("b"), kBad, kShard, now + 5s);
       if (verdict == CrashVerdict::RunAlone) {
         worst = std::max(worst.load(), ++running);
+        std::this_thread::yield(); // gives the other worker time to start one too
         --running;
         tracker.OnEnded(i, ExchangeStatus::Shed, now + 5s);
       }
