--- a/include/wasabispar/upstream/upstream_table.hpp
+++ b/include/wasabispar/upstream/upstream_table.hpp
@@ -42,6 +42,8 @@
   std::vector<ShardId> mMap;
   /// The shards that the upstream holds.
   std::vector<ShardId> mHeld;
+
+  bool operator==(const DeclaredVersion&) const = default;
 };
 
 /// @brief The reply to `GET /state`.
--- a/src/wasabispar/upstream/upstream_table.cpp
+++ b/src/wasabispar/upstream/upstream_table.cpp
@@ -17,8 +17,8 @@
 constexpr Duration kFirstList = std::chrono::seconds(1);
 
 /// A reply after a longer silence counts as a change, so that cached views see at once
-/// that the upstream answers again. Shorter than any limit for a recent reply.
-constexpr Duration kSilence = std::chrono::seconds(1);
+/// that the upstream answers again. Below SnapshotDirectoryOptions::mRecent.
+constexpr Duration kSilence = std::chrono::seconds(3);
 
 } // namespace
 
@@ -141,17 +141,21 @@
       return false;
     }
     aEntry.mReportRequested = aRequested;
-    aEntry.mLastReply = aNow;
-    aEntry.mVersions =
-      std::make_shared<const std::vector<DeclaredVersion>>(aReport.mVersions);
+    OnAnswered(aEntry, aNow);
+    // Most reports repeat the last one; cached views stay valid then.
+    if (*aEntry.mVersions != aReport.mVersions) {
+      aEntry.mVersions =
+        std::make_shared<const std::vector<DeclaredVersion>>(aReport.mVersions);
+      Changed();
+    }
     aEntry.mSlots.OnDeclaredSlots(aReport.mSlots);
     if (aEntry.mLeavingSince && aRequested > *aEntry.mLeavingSince &&
         !aEntry.mDeclaration.mLeaving) {
       aEntry.mLeavingSince.reset();
       aEntry.mWarmSince = aNow;
+      Changed();
     }
     ClearSuspect(aEntry, aRequested, aNow);
-    Changed();
     return false;
   });
 }
--- a/src/wasabispar/upstream/upstream_table_test.cpp
+++ b/src/wasabispar/upstream/upstream_table_test.cpp
@@ -228,3 +228,15 @@
   CHECK(cold >= 3);
   CHECK(cold <= 20);
 }
+
+TEST_CASE_FIXTURE(Fixture, "a report that repeats the last one changes no generation")
+{
+  // Guards against views that are rebuilt for each state report of each upstream.
+  const auto generation = mTable.Generation();
+  mTable.OnReport(kUp, ReportOf(false), mNow + 500ms, mNow + 500ms);
+  CHECK(mTable.Generation() == generation);
+  auto other = ReportOf(false);
+  other.mVersions[0].mHeld.clear();
+  mTable.OnReport(kUp, other, mNow + 600ms, mNow + 600ms);
+  CHECK(mTable.Generation() != generation);
+}
