--- a/tests/failure/daemon_config_test.cpp
+++ b/tests/failure/daemon_config_test.cpp
@@ -62,6 +62,7 @@
   const auto report = bench::RunLoad(system.Load(4s));
   CAPTURE(Describe(report));
   CHECK(report.mFaults == 0);
+  CHECK(system.AllRunning());
   CHECK(report.mAll.mComplete == report.mAll.mRequests);
   system.System().PublishProfile(kSearchProfile, RetiredProfile(system));
   system.System().Platform().SetMode("normal");
--- a/tests/failure/daemon_fixture.cpp
+++ b/tests/failure/daemon_fixture.cpp
@@ -77,6 +77,17 @@
   return true;
 }
 
+bool
+SmallSystem::AllRunning()
+{
+  bool running = true;
+  for (std::size_t vm = 0; vm < mCluster->VmCount(); ++vm) {
+    const auto end = Vm(vm).Process().WaitForEnd(std::chrono::milliseconds(0));
+    running = running && !end;
+  }
+  return running;
+}
+
 std::uint64_t
 SmallSystem::MaxConnections()
 {
--- a/tests/failure/daemon_fixture.hpp
+++ b/tests/failure/daemon_fixture.hpp
@@ -34,6 +34,8 @@
   bool Answers(std::size_t aNumber, const std::string& aProfile, unsigned aCode);
   /// @brief True when all VMs do.
   bool AllAnswer(const std::string& aProfile, unsigned aCode);
+  /// @brief False when a VM has ended, by a crash or as the test asked it to.
+  bool AllRunning();
   /// @brief The largest number of connections that an instance held, and the number
   /// that instances refused.
   std::uint64_t MaxConnections();
