--- a/include/wasabispar/app/query_service.hpp
+++ b/include/wasabispar/app/query_service.hpp
@@ -30,6 +30,8 @@
   std::string mQuery;
   /// The caller's own deadline; the profile's applies if it is shorter.
   std::optional<Duration> mDeadline;
+  /// Most hits to return, the best ones; all when absent.
+  std::optional<std::size_t> mLimit;
 };
 
 /// @brief The end of a search: an answer, or a refusal with the request's id.
--- a/src/wasabispar/app/caller_api.cpp
+++ b/src/wasabispar/app/caller_api.cpp
@@ -25,6 +25,7 @@
   CallerId mCaller;
   std::optional<Duration> mDeadline;
   std::optional<std::string> mTicket;
+  std::optional<std::size_t> mLimit;
   /// The field `query` or `body` as JSON text.
   std::string mPayload;
 };
@@ -42,6 +43,7 @@
     const std::string_view key = field.key();
     const bool isKnown = key == "profile" || key == "caller" || key == "deadline_ms" ||
                          (key == "ticket" && aPayloadField == "body") ||
+                         (key == "limit" && aPayloadField == "query") ||
                          (!aPayloadField.empty() && key == aPayloadField);
     if (!isKnown) {
       return Malformed("unknown field '" + std::string(key.substr(0, kMaxNameBytes)) +
@@ -62,6 +64,7 @@
   fields.mCaller = CallerId(reader.Text("caller"));
   const auto deadline = reader.NumberOr("deadline_ms", 0);
   const auto ticket = reader.TextOr("ticket", {});
+  const auto limit = reader.NumberOr("limit", 0);
   BOOST_LEAF_CHECK(reader.Status());
   for (const auto* name : { &fields.mProfile.Text(), &fields.mCaller.Text() }) {
     if (name->empty() || name->size() > kMaxNameBytes) {
@@ -77,6 +80,9 @@
   if (object.contains("ticket")) {
     fields.mTicket = ticket;
   }
+  if (object.contains("limit")) {
+    fields.mLimit = limit;
+  }
   if (!aPayloadField.empty()) {
     const auto* payload = object.if_contains(aPayloadField);
     if (!payload || !payload->is_object()) {
@@ -243,7 +249,7 @@
       }
       if (path == "/v1/query") {
         mQueries.Run({ fields.mProfile, fields.mCaller, std::move(fields.mPayload),
-                       fields.mDeadline },
+                       fields.mDeadline, fields.mLimit },
                      [vm = mContext.mSettings.mVm, profile = fields.mProfile,
                       respond = aRespond](QueryResult aResult) {
                        auto response = aResult.mRefusal
--- a/src/wasabispar/app/query_service.cpp
+++ b/src/wasabispar/app/query_service.cpp
@@ -6,6 +6,7 @@
 #include "wasabispar/base/log.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace wasabispar {
 
@@ -193,6 +194,8 @@
   plan.mMinimum = profile.mMinimumCoverage;
   plan.mHedging = profile.mHedging;
   plan.mIsolated = aRunning->mIsIsolated;
+  plan.mLimit =
+    aRunning->mInput.mLimit.value_or(std::numeric_limits<std::size_t>::max());
   aRunning->mVersion = plan.mSnapshot.mVersion;
   aRunning->mQuery.emplace(std::move(plan), HooksOf(aRunning));
   Apply(aRunning, aRunning->mQuery->Start(now));
