--- a/include/wasabispar/net/http_client.hpp
+++ b/include/wasabispar/net/http_client.hpp
@@ -79,8 +79,10 @@
 };
 
 /// @brief Opens a connection, makes one exchange and closes it. @p aTimeout covers both.
-void
-HttpFetch(boost::asio::io_context& aContext, const Endpoint& aEndpoint,
-          HttpRequest aRequest, Duration aTimeout, HttpConnection::ExchangeFn aDone);
+void HttpFetch(boost::asio::io_context& aContext,
+               const Endpoint& aEndpoint,
+               HttpRequest aRequest,
+               Duration aTimeout,
+               HttpConnection::ExchangeFn aDone);
 
 } // namespace wasabispar
--- a/include/wasabispar/net/http_server.hpp
+++ b/include/wasabispar/net/http_server.hpp
@@ -51,8 +51,10 @@
 class HttpServer
 {
 public:
-  HttpServer(std::vector<boost::asio::io_context*> aWorkers, HttpServerOptions aOptions,
-             HttpHandlerFn aHandler, HttpRejectionFn aOnRejection = nullptr);
+  HttpServer(std::vector<boost::asio::io_context*> aWorkers,
+             HttpServerOptions aOptions,
+             HttpHandlerFn aHandler,
+             HttpRejectionFn aOnRejection = nullptr);
   /// Closes the listener and all connections.
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
