Hedge after the 97th percentile by default

Cause: with the 95th percentile as the profile's default, hedges needed 4.3 to 4.6% extra load, so the budget of 5% was empty when a straggler came. Ruled out: slow service of the tier itself, as the calm p99 was 18 ms.

--- a/include/wasabispar/catalogue/profile.hpp
+++ b/include/wasabispar/catalogue/profile.hpp
@@ -80,7 +80,7 @@
   /// Always false when mOperation is Execute.
   bool mHedging = true;
   /// Percentile of recent latency after which a hedge is sent; 50 to 99.
-  unsigned mHedgePercentile = 95;
+  unsigned mHedgePercentile = 97;
   /// Hedges and retries over sub-requests needed; 0 to 1000.
   Permille mExtraLoad{ 50 };
   /// Sorted, without duplicates. Empty: all callers.
