Let a profile with little traffic hedge

Change: a new budget holds 5 extra sub-requests, and without an estimate the hedge delay is half of the latency target; the demo sends 20 requests before the fault.

--- a/include/wasabispar/query/load_budget.hpp
+++ b/include/wasabispar/query/load_budget.hpp
@@ -21,6 +21,8 @@
   Duration mShedPause = std::chrono::seconds(1);
   /// A fleet level older than this no longer counts.
   Duration mFleetLevelLife = std::chrono::seconds(10);
+  /// Extra sub-requests that may be sent before any needed one was counted.
+  std::uint32_t mInitial = 0;
 };
 
 /// @brief What an extra sub-request is for.
--- a/src/wasabispar/app/query_service.cpp
+++ b/src/wasabispar/app/query_service.cpp
@@ -12,6 +12,10 @@
 
 namespace {
 
+/// Extra sub-requests that a new budget holds, so that a profile with little traffic can
+/// hedge, too.
+constexpr std::uint32_t kInitialExtra = 5;
+
 Refusal
 AdmissionRefusal(AdmissionReason aReason)
 {
@@ -135,6 +139,7 @@
   if (!budget || known != limit) {
     LoadBudgetOptions options;
     options.mBudget = limit;
+    options.mInitial = limit.Value() > 0 ? kInitialExtra : 0;
     budget = std::make_shared<LoadBudget>(options);
     known = limit;
   }
@@ -208,6 +213,14 @@
     MakeQueryHooks(mUpstreams.Table(), mUpstreams.Directory(), *aRunning->mBudget,
                    SeededRandom(aRunning->mRequest.mCounter),
                    Permille(aRunning->mProfile->mHedgePercentile * 10));
+  // Without enough samples for an estimate, a hedge at half the target can still answer
+  // in time.
+  hooks.mHedgeDelay = [estimate = hooks.mHedgeDelay,
+                       fallback = aRunning->mProfile->mLatencyTarget / 2](
+                        const IndexName& aIndex, TimePoint aNow) {
+    const auto delay = estimate(aIndex, aNow);
+    return delay ? delay : std::optional<Duration>(fallback);
+  };
   hooks.mTakeBudget = [this, name = aRunning->mInput.mProfile,
                        budget = aRunning->mBudget](ExtraLoad aKind, TimePoint aNow) {
     // Hedges of a retired profile stop at once.
--- a/src/wasabispar/query/load_budget.cpp
+++ b/src/wasabispar/query/load_budget.cpp
@@ -21,6 +21,7 @@
 
 LoadBudget::LoadBudget(LoadBudgetOptions aOptions)
   : mOptions(aOptions)
+  , mTokens(kToken * aOptions.mInitial)
 {
 }
 
--- a/tests/demo/demo.cpp
+++ b/tests/demo/demo.cpp
@@ -157,6 +157,10 @@
 ShowFrozenUpstream(Report& aReport, Cluster& aCluster)
 {
   aReport.Title("One upstream instance freezes; its replicas answer for it");
+  // Some traffic, so that the VM has an estimate of the latency to hedge by.
+  for (int request = 0; request < 20; ++request) {
+    Query(aCluster.Vm(0).Caller(), kFitting, "warm-up");
+  }
   const auto& group = aCluster.Upstream(0);
   group.Set(group.InstanceName(0), { { "freeze", "all" } });
   const auto reply = Ask(aReport, aCluster.Vm(0), kFitting, "obi for a wedding");
