--- a/src/wasabispar/fleet/membership.cpp
+++ b/src/wasabispar/fleet/membership.cpp
@@ -26,6 +26,8 @@
 /// Answers with more changes than this are a bulk transfer; they are not passed on,
 /// because the others compare views themselves.
 constexpr std::size_t kMaxRelayedChanges = 64;
+/// Piggybacked copies of the news that a listed VM answers.
+constexpr std::size_t kListedJoinCopies = 2;
 /// Probes that ask for whole views after the start and after a pause.
 constexpr unsigned kJoinCompares = 3;
 
@@ -135,7 +137,6 @@
     }
     std::map<DataCentreId, std::vector<VmId>> candidates;
     mRing.clear();
-    mUnconfirmed = 0;
     for (const auto& [vm, member] : view->mMembers) {
       if (member.mState == MemberState::Dead) {
         continue;
@@ -150,7 +151,6 @@
       }
       view->mLocalSharers.push_back(vm);
       mRing.emplace_back(HashText(vm.Text()), vm);
-      mUnconfirmed += member.mState == MemberState::Unconfirmed ? 1 : 0;
       if (!leaving && member.mState != MemberState::Unconfirmed) {
         view->mLocalLive.push_back(vm);
       }
@@ -216,12 +216,14 @@
   {
     const auto group = mMembers.size() + 1;
     const auto found = mMembers.find(aVm);
-    // A VM that joins also probes all VMs on its list itself. With reliable copies of
-    // such news the probes stayed full for minutes after a start of 367 VMs.
-    const bool isJoin = aIsLocal && found != mMembers.end() &&
-                        found->second.mMember.mState == MemberState::Alive &&
-                        found->second.mMember.mStateVersion <= 1;
-    mQueue.Add(aVm, isJoin ? SparseCopies(group) : ReliableCopies(group));
+    // A VM on the platform list is known to the others, and probes them itself. With
+    // reliable copies of such news the probes stayed full for minutes after a start of
+    // 367 VMs.
+    const bool isListedJoin = aIsLocal && found != mMembers.end() &&
+                              found->second.mMember.mState == MemberState::Alive &&
+                              found->second.mMember.mStateVersion <= 1 &&
+                              found->second.mMember.mListed != ListedState::Absent;
+    mQueue.Add(aVm, isListedJoin ? kListedJoinCopies : ReliableCopies(group));
     mIsPushPending = mIsPushPending || aIsLocal;
   }
 
@@ -284,6 +286,7 @@
     entry.mMember.mIdentity = aIdentity;
     entry.mMember.mSince = aNow;
     SetDeadline(entry, aNow + mOptions.mUnconfirmedTime);
+    mMayHaveUnconfirmed = true;
     return &entry;
   }
 
@@ -602,18 +605,19 @@
 
   void ProbeUnconfirmed(TimePoint aNow, MembershipActions& aActions)
   {
-    Refresh();
-    if (mUnconfirmed == 0) {
+    if (!mMayHaveUnconfirmed) {
       return;
     }
+    mMayHaveUnconfirmed = false;
     std::size_t sent = 0;
     for (auto& [vm, entry] : mMembers) {
-      if (sent == kUnconfirmedPerTick) {
-        return;
+      if (entry.mMember.mState != MemberState::Unconfirmed || !IsLocal(entry)) {
+        continue;
       }
-      if (entry.mMember.mState == MemberState::Unconfirmed && IsLocal(entry) &&
-          (entry.mLastProbe == TimePoint{} ||
-           aNow - entry.mLastProbe >= kUnconfirmedRetry)) {
+      mMayHaveUnconfirmed = true;
+      const bool isDue =
+        entry.mLastProbe == TimePoint{} || aNow - entry.mLastProbe >= kUnconfirmedRetry;
+      if (isDue && sent < kUnconfirmedPerTick) {
         StartProbe(vm, false, aNow, aActions);
         ++sent;
       }
@@ -892,6 +896,7 @@
       entry.mMember.mSince = aNow;
       entry.mIsLeaving = false;
       SetDeadline(entry, aNow + mOptions.mUnconfirmedTime);
+      mMayHaveUnconfirmed = true;
       entry.mLastProbe = TimePoint{};
       Record(entry, MemberState::Dead, true, aActions);
     }
@@ -951,6 +956,8 @@
   unsigned mPendingCompares = kJoinCompares;
   std::uint64_t mRound = 0;
   std::uint64_t mBridgeRound = 0;
+  /// False only when no local member is unconfirmed.
+  bool mMayHaveUnconfirmed = false;
   bool mIsPushPending = false;
   TimePoint mPushWindow;
   std::size_t mPushes = 0;
@@ -966,8 +973,6 @@
   /// Local members that are not dead, this VM included, by hash of the id. The hash
   /// separates VMs that fail together, such as those of a rack.
   std::vector<std::pair<std::uint64_t, VmId>> mRing;
-  /// Local members that have not answered yet.
-  std::size_t mUnconfirmed = 0;
   std::map<DataCentreId, std::vector<VmId>> mBridges;
   /// Members of each data centre that are neither dead nor leaving.
   std::map<DataCentreId, std::vector<VmId>> mCandidates;
--- a/src/wasabispar/fleet/update_queue.hpp
+++ b/src/wasabispar/fleet/update_queue.hpp
@@ -2,10 +2,12 @@
 /// @brief Keys waiting to be piggybacked on probes.
 #pragma once
 
-#include <algorithm>
 #include <bit>
 #include <cstddef>
+#include <functional>
 #include <map>
+#include <set>
+#include <utility>
 #include <vector>
 
 namespace wasabispar {
@@ -18,50 +20,41 @@
   return 3 * (std::bit_width(aGroup) + 1);
 }
 
-/// @brief Copies of news that the members also learn in another way.
-inline std::size_t
-SparseCopies(std::size_t aGroup)
-{
-  return std::bit_width(aGroup) + 3;
-}
-
 /// @brief Hands out each key a number of times, those with most copies left first.
 template<class Key>
 class UpdateQueue
 {
 public:
   /// @brief Starts to hand out @p aKey, from the beginning if it is already queued.
-  void Add(const Key& aKey, std::size_t aCopies) { mLeft[aKey] = aCopies; }
-  void Remove(const Key& aKey) { mLeft.erase(aKey); }
-  std::size_t Size() const { return mLeft.size(); }
+  void Add(const Key& aKey, std::size_t aCopies)
+  {
+    Remove(aKey);
+    mLeft[aKey] = aCopies;
+    mOrder.emplace(aCopies, aKey);
+  }
+
+  void Remove(const Key& aKey)
+  {
+    const auto found = mLeft.find(aKey);
+    if (found != mLeft.end()) {
+      mOrder.erase({ found->second, aKey });
+      mLeft.erase(found);
+    }
+  }
 
   /// @brief At most @p aCount keys for one message.
   std::vector<Key> Take(std::size_t aCount)
   {
-    if (mLeft.empty()) {
-      return {};
-    }
-    std::vector<std::pair<std::size_t, const Key*>> queued;
-    queued.reserve(mLeft.size());
-    for (const auto& [key, left] : mLeft) {
-      queued.emplace_back(left, &key);
-    }
-    const auto count = std::min(aCount, queued.size());
-    std::partial_sort(queued.begin(), queued.begin() + static_cast<std::ptrdiff_t>(count),
-                      queued.end(), [](const auto& aFirst, const auto& aSecond) {
-                        return aFirst.first != aSecond.first
-                                 ? aFirst.first > aSecond.first
-                                 : *aFirst.second < *aSecond.second;
-                      });
     std::vector<Key> taken;
-    taken.reserve(count);
-    for (std::size_t i = 0; i < count; ++i) {
-      taken.push_back(*queued[i].second);
+    for (auto at = mOrder.begin(); at != mOrder.end() && taken.size() < aCount; ++at) {
+      taken.push_back(at->second);
     }
     for (const auto& key : taken) {
-      const auto entry = mLeft.find(key);
-      if (--entry->second == 0) {
-        mLeft.erase(entry);
+      const auto left = mLeft.at(key) - 1;
+      if (left == 0) {
+        Remove(key);
+      } else {
+        Add(key, left);
       }
     }
     return taken;
@@ -70,6 +63,8 @@
 private:
   /// Copies left of each key, at least 1.
   std::map<Key, std::size_t> mLeft;
+  /// The same, ordered by copies left, most first.
+  std::set<std::pair<std::size_t, Key>, std::greater<>> mOrder;
 };
 
 } // namespace wasabispar
--- a/src/wasabispar/net/fleet_codec.cpp
+++ b/src/wasabispar/net/fleet_codec.cpp
@@ -581,6 +581,10 @@
     return Refuse(FleetDecodeError::TooLarge, {}, "message exceeds the size limit",
                   aCounters);
   }
+  // protobuf would write a line to standard error for each text that is not UTF-8, so a
+  // faulty peer could fill the log. The error is counted below.
+  static const auto sOldHandler = google::protobuf::SetLogHandler(nullptr);
+  static_cast<void>(sOldHandler);
   wire::Envelope in;
   if (!in.ParseFromArray(aBytes.data(), static_cast<int>(aBytes.size()))) {
     return Refuse(FleetDecodeError::Malformed, {}, "malformed message", aCounters);
--- a/tests/fleet_fake.hpp
+++ b/tests/fleet_fake.hpp
@@ -35,6 +35,7 @@
   bool mIsPaused = false;
   bool mIsSuperseded = false;
   Duration mTickOffset{};
+  std::uint64_t mTicks = 0;
   std::uint64_t mMessagesOut = 0;
   std::uint64_t mBytesOut = 0;
   std::vector<MemberChange> mChanges;
@@ -125,7 +126,9 @@
           (mNow.time_since_epoch() + vm.mTickOffset) % std::chrono::milliseconds(50);
         if (vm.mIsRunning && !vm.mIsPaused && phase < kStep) {
           Perform(vm, vm.mMembership->Tick(mNow), nullptr);
-          UpdateFactPeers(vm);
+          if (++vm.mTicks % 5 == 1) {
+            UpdateFactPeers(vm);
+          }
         }
       }
     }
