--- a/tests/fleet_fake.hpp
+++ b/tests/fleet_fake.hpp
@@ -283,7 +283,6 @@
     const auto& message = aDelivery.mMessage;
     auto actions =
       vm.mMembership->OnMessage(aDelivery.mFrom, aDelivery.mIncarnation, message, mNow);
-    UpdateFactPeers(vm);
     if (const auto* ping = std::get_if<PingMessage>(&message)) {
       SendFacts(vm, vm.mFacts->OnFacts(aDelivery.mFrom, ping->mFacts, mNow));
     } else if (const auto* ack = std::get_if<AckMessage>(&message)) {
