--- a/bench/load_generator.hpp
+++ b/bench/load_generator.hpp
@@ -11,6 +11,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <string>
 #include <vector>
@@ -46,8 +47,8 @@
   Duration mAvoidFailedVm = std::chrono::seconds(1);
   std::uint64_t mSeed = 1;
   ShardMaps mMaps;
-  /// Most hits of an answer, as the tier is built.
-  std::size_t mHitLimit = 10;
+  /// Most hits of an answer; the load's queries set no limit.
+  std::size_t mHitLimit = std::numeric_limits<std::size_t>::max();
   std::vector<LoadEvent> mEvents;
   /// Whether VM number n gets new requests, as a balancer decides it; empty: always.
   /// Called on the load's thread.
