--- a/bench/naive_tier.cpp
+++ b/bench/naive_tier.cpp
@@ -15,6 +15,16 @@
 using standins::ReadNumber;
 using standins::ReadText;
 
+namespace {
+
+bool
+IsBetter(const json::value& aLeft, const json::value& aRight)
+{
+  return aLeft.at("score").as_double() > aRight.at("score").as_double();
+}
+
+} // namespace
+
 struct NaiveTier::RunningQuery
 {
   HttpRespondFn mRespond;
@@ -306,6 +316,7 @@
 void
 NaiveTier::Finish(RunningQuery& aQuery)
 {
+  std::sort(aQuery.mHits.begin(), aQuery.mHits.end(), IsBetter);
   const auto answered = aQuery.mTotal - aQuery.mMissing.size();
   const auto permille = answered * 1000 / aQuery.mTotal;
   json::array missing;
