Add metrics for readiness, members, data centres and burn rates

Alerts on these had no metric: they were only in the JSON reports, which Prometheus does not read. The burn rate of a deleted profile is set to zero, so that its alert ends.

--- a/include/wasabispar/app/operator_api.hpp
+++ b/include/wasabispar/app/operator_api.hpp
@@ -12,7 +12,10 @@
 #include "wasabispar/app/slo_tracker.hpp"
 #include "wasabispar/app/upstream_service.hpp"
 
+#include <mutex>
+#include <set>
 #include <string>
+#include <utility>
 
 namespace wasabispar {
 
@@ -44,8 +47,14 @@
   AppContext& mContext;
   OperatorSources mSources;
   ReadinessFn mIsReady;
+  /// Guards mBurnSeries and the update of its metrics.
+  std::mutex mBurnMutex;
+  /// Profile and minutes of each burn rate that was shown as a metric.
+  std::set<std::pair<std::string, std::string>> mBurnSeries;
 
   void UpdateMetrics();
+  void UpdateFleetMetrics();
+  void UpdateBurnMetrics();
   /// Asks the other VMs for their revision and answers when they had time to reply.
   void Status(HttpRespondFn aRespond);
   std::string StatusText();
--- a/src/wasabispar/app/operator_api.cpp
+++ b/src/wasabispar/app/operator_api.cpp
@@ -9,12 +9,19 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <array>
+#include <map>
+
 namespace wasabispar {
 
 namespace json = boost::json;
 
 namespace {
 
+constexpr std::array kMemberStates{ MemberState::Unconfirmed, MemberState::Alive,
+                                    MemberState::Leaving, MemberState::Suspect,
+                                    MemberState::Dead };
+
 /// Time for other VMs to report their revision; above the delay between regions.
 constexpr Duration kRevisionWait = std::chrono::milliseconds(300);
 
@@ -320,6 +327,73 @@
   }
   set("wasabispar_upstream_connections", "Open connections to upstreams.", open);
   set("wasabispar_upstreams_avoided", "Upstreams that get no or less work.", avoided);
+  UpdateFleetMetrics();
+  UpdateBurnMetrics();
+}
+
+void
+OperatorApi::UpdateFleetMetrics()
+{
+  auto& metrics = mContext.mMetrics;
+  std::string reason;
+  metrics.Gauge("wasabispar_ready", "1 if this VM serves, else 0.")
+    .Set(mIsReady(reason) ? 1 : 0);
+  metrics
+    .Gauge("wasabispar_rejected_documents",
+           "Profiles whose newest document is invalid; the last valid one is in effect.")
+    .Set(static_cast<double>(mSources.mConfig.Profiles().View()->Rejected().size()));
+  std::map<std::string_view, double> counts;
+  for (const auto state : kMemberStates) {
+    counts[ToText(state)] = 0;
+  }
+  for (const auto& [vm, member] : mSources.mFleet.View()->mMembers) {
+    ++counts[ToText(member.mState)];
+  }
+  for (const auto& [state, count] : counts) {
+    metrics
+      .Gauge("wasabispar_members", "VMs of the fleet by state, as this VM sees them.",
+             { { "state", std::string(state) } })
+      .Set(count);
+  }
+  for (const auto& contact : mSources.mFleet.Members().Contacts(mContext.mNow())) {
+    metrics
+      .Gauge("wasabispar_data_centre_reachable",
+             "1 if another data centre was heard from recently, else 0.",
+             { { "data_centre", contact.mDataCentre.Text() } })
+      .Set(contact.mIsReachable ? 1 : 0);
+  }
+}
+
+void
+OperatorApi::UpdateBurnMetrics()
+{
+  const auto set = [this](const std::string& aProfile, const std::string& aObjective,
+                          const std::string& aMinutes, double aBurn) {
+    mContext.mMetrics
+      .Gauge(
+        "wasabispar_burn_rate",
+        "Rate at which the error budget is used; 1 uses it up exactly.",
+        { { "profile", aProfile }, { "objective", aObjective }, { "minutes", aMinutes } })
+      .Set(aBurn);
+  };
+  const auto reports =
+    mSources.mSlo.Report(*mSources.mConfig.Profiles().View(), mContext.mNow());
+  std::lock_guard lock(mBurnMutex);
+  // A deleted profile has no report any more; its alert must not stay on.
+  for (const auto& [profile, minutes] : mBurnSeries) {
+    set(profile, "latency", minutes, 0);
+    set(profile, "coverage", minutes, 0);
+  }
+  for (const auto& report : reports) {
+    for (const auto& window : report.mWindows) {
+      const auto minutes = std::to_string(
+        std::chrono::duration_cast<std::chrono::minutes>(window.mWidth).count());
+      const auto& profile = report.mProfile.Text();
+      mBurnSeries.emplace(profile, minutes);
+      set(profile, "latency", minutes, window.mLatencyBurn);
+      set(profile, "coverage", minutes, window.mCoverageBurn);
+    }
+  }
 }
 
 void
