--- a/src/wasabispar/app/ctl_status.cpp
+++ b/src/wasabispar/app/ctl_status.cpp
@@ -70,11 +70,12 @@
     const auto key =
       TextIn(member, "data_centre") + " (region " + TextIn(member, "region") + ")";
     const auto [table, isNew] = dataCentres.try_emplace(
-      key,
-      std::vector<std::string>{ "  vm", "state", "since", "revision", "fleet", "note" });
+      key, std::vector<std::string>{ "  vm", "state", "since", "revision", "reported",
+                                     "fleet", "note" });
     table->second.Add({ "  " + TextIn(member, "vm"), TextIn(member, "state"),
                         AgeIn(member, "since_ms"), TextIn(member, "revision"),
-                        TextIn(member, "fleet"), MemberNote(member, aRevision) });
+                        AgeIn(member, "revision_age_ms"), TextIn(member, "fleet"),
+                        MemberNote(member, aRevision) });
   }
   std::string text;
   for (const auto& [dataCentre, table] : dataCentres) {
