--- a/src/wasabispar/app/ctl_run_test.cpp
+++ b/src/wasabispar/app/ctl_run_test.cpp
@@ -62,12 +62,6 @@
   }
 };
 
-CtlExit
-ExitOf(const std::vector<std::string>& aArguments)
-{
-  return Outside{}.Run(aArguments).mExit;
-}
-
 bool
 Has(const std::string& aText, const std::string& aPart)
 {
@@ -294,5 +288,5 @@
   // What `catalogue` prints is what `diff` reads.
   outside.mFiles["saved"] = outside.Run({ "catalogue" }).mOutput;
   CHECK(outside.Run({ "diff", "new.json", "saved" }).mOutput == "no profile differs\n");
-  CHECK(ExitOf({ "catalogue" }) == CtlExit::NotFound);
+  CHECK(Outside{}.Run({ "catalogue" }).mExit == CtlExit::NotFound);
 }
