--- /dev/null
+++ b/bench/capacity/fleet_bench.cpp
@@ -0,0 +1,427 @@
+/// @file
+/// @brief Membership, facts, ownership and the platform's list at full size.
+#include "fixture.hpp"
+#include "wasabispar/base/hash.hpp"
+#include "wasabispar/base/random.hpp"
+#include "wasabispar/fleet/fact_store.hpp"
+#include "wasabispar/fleet/membership.hpp"
+#include "wasabispar/fleet/ownership.hpp"
+#include "wasabispar/net/platform_client.hpp"
+
+#include <algorithm>
+#include <memory>
+
+namespace wasabispar::capacity {
+
+namespace {
+
+constexpr Duration kTick = std::chrono::milliseconds(50);
+/// 75 failures with a return each, and 1,800 restarts or replacements a day.
+constexpr Duration kChangePeriod = std::chrono::seconds(24 * 3600 / (2 * 75 + 1800));
+
+struct Traffic
+{
+  std::uint64_t mMessages = 0;
+  std::uint64_t mBytes = 0;
+
+  void Add(const FleetMessage& aMessage)
+  {
+    ++mMessages;
+    mBytes += WireBytes(aMessage);
+  }
+};
+
+FleetMessage
+ToFleet(const SwimMessage& aMessage)
+{
+  return std::visit([](const auto& aPart) { return FleetMessage(aPart); }, aMessage);
+}
+
+/// One real VM; all others answer its probes at once.
+class Driver
+{
+public:
+  Driver(std::size_t aLocal, std::size_t aFleet, std::size_t aSelf = 0)
+    : mSelf(aSelf)
+    , mMembership(MakeVm(0, aSelf), {}, SeededRandom(kSeed), mNow)
+  {
+    const auto remote = aFleet > aLocal ? (aFleet - aLocal) / (kDataCentres - 1) : 0;
+    std::vector<ListedVm> list;
+    for (std::size_t centre = 0; centre < kDataCentres; ++centre) {
+      for (std::size_t i = 0; i < (centre == 0 ? aLocal : remote); ++i) {
+        mVms.push_back({ MakeVm(centre, i), MemberState::Alive, 1 });
+        list.push_back({ mVms.back().mIdentity, ListedState::Live });
+      }
+    }
+    for (std::size_t i = 0; i < mVms.size(); ++i) {
+      mIndex.emplace(mVms[i].mIdentity.mVm, i);
+    }
+    mMembership.OnPlatformList(list, mNow);
+    // All others are announced by one of them, as views are compared at the start.
+    const auto& announcer = mVms[Other()];
+    AckMessage announce;
+    announce.mSubject = announcer;
+    announce.mUpdates = mVms;
+    mMembership.OnMessage(announcer.mIdentity.mVm, announcer.mIdentity.mIncarnation,
+                          announce, mNow);
+    Run(std::chrono::seconds(60), false);
+    mSent = {};
+    mReceived = {};
+  }
+
+  /// Changes members at the rate of the whole fleet when @p aChanges is set.
+  void Run(Duration aTime, bool aChanges)
+  {
+    const auto end = mNow + aTime;
+    auto nextChange = mNow + kChangePeriod;
+    while (mNow < end) {
+      mNow += kTick;
+      Answer(mMembership.Tick(mNow).mSends);
+      if (aChanges && mNow >= nextChange) {
+        nextChange += kChangePeriod;
+        ChangeMember();
+      }
+    }
+  }
+
+  void ChangeMember()
+  {
+    const auto index = mRandom(mVms.size());
+    if (index == mSelf) {
+      return;
+    }
+    auto& changed = mVms[index];
+    changed.mIdentity.mIncarnation = changed.mIdentity.mIncarnation.Next();
+    PingMessage ping;
+    ping.mSequence = 1;
+    ping.mSelf = mVms[Other()];
+    ping.mUpdates.push_back(changed);
+    Deliver(ping.mSelf, ping);
+  }
+
+  /// A local VM other than the one under test.
+  std::size_t Other() const { return mSelf == 0 ? 1 : 0; }
+
+  void Answer(const std::vector<SwimSend>& aSends)
+  {
+    for (const auto& send : aSends) {
+      mSent.Add(ToFleet(send.mMessage));
+      const auto* ping = std::get_if<PingMessage>(&send.mMessage);
+      if (!ping) {
+        continue;
+      }
+      const auto& peer = mVms[mIndex.at(send.mTo)];
+      AckMessage ack;
+      ack.mSequence = ping->mSequence;
+      ack.mSubject = peer;
+      Deliver(peer, ack);
+      // By symmetry this VM is probed as often as it probes.
+      PingMessage probe;
+      probe.mSequence = ping->mSequence;
+      probe.mSelf = peer;
+      Deliver(peer, probe);
+    }
+  }
+
+  void Deliver(const MemberUpdate& aFrom, const SwimMessage& aMessage)
+  {
+    mReceived.Add(ToFleet(aMessage));
+    const auto actions = mMembership.OnMessage(
+      aFrom.mIdentity.mVm, aFrom.mIdentity.mIncarnation, aMessage, mNow);
+    for (const auto& send : actions.mSends) {
+      mSent.Add(ToFleet(send.mMessage));
+    }
+  }
+
+  std::size_t mSelf;
+  TimePoint mNow{ std::chrono::seconds(1000) };
+  RandomFn mRandom = SeededRandom(kSeed + 1);
+  std::vector<MemberUpdate> mVms;
+  std::map<VmId, std::size_t> mIndex;
+  Traffic mSent;
+  Traffic mReceived;
+  Membership mMembership;
+};
+
+/// Sets a counter to a rate per virtual second.
+void
+Report(benchmark::State& aState, const char* aName, double aAmount, Duration aTime)
+{
+  aState.counters[aName] = aAmount / std::chrono::duration<double>(aTime).count();
+}
+
+void
+RunSeconds(benchmark::State& aState, std::size_t aSelf)
+{
+  const auto before = HeapBytes();
+  auto driver =
+    std::make_unique<Driver>(static_cast<std::size_t>(aState.range(0)),
+                             static_cast<std::size_t>(aState.range(1)), aSelf);
+  aState.counters["heap_B"] = static_cast<double>(HeapBytes() - before);
+  const auto start = driver->mNow;
+  for (auto _ : aState) {
+    driver->Run(std::chrono::seconds(60), true);
+  }
+  const auto time = driver->mNow - start;
+  Report(aState, "sent_msg_s", static_cast<double>(driver->mSent.mMessages), time);
+  Report(aState, "sent_B_s", static_cast<double>(driver->mSent.mBytes), time);
+  Report(aState, "recv_B_s", static_cast<double>(driver->mReceived.mBytes), time);
+  aState.counters["bridge"] = driver->mMembership.IsBridge() ? 1 : 0;
+}
+
+/// The protocol with its encoding; one iteration is 60 s of virtual time. Arguments:
+/// local VMs, VMs of the fleet.
+void
+MembershipMinute(benchmark::State& aState)
+{
+  RunSeconds(aState, 0);
+}
+BENCHMARK(MembershipMinute)
+  ->Args({ 3, 27 })
+  ->Args({ 37, 333 })
+  ->Args({ 367, 3300 })
+  ->Unit(benchmark::kMillisecond);
+
+/// The same for a bridge to the other 8 data centres.
+void
+MembershipBridgeMinute(benchmark::State& aState)
+{
+  const auto vms = LocalVms(static_cast<std::size_t>(aState.range(0)));
+  const auto bridge =
+    RendezvousTop("bridge/" + MakeVm(0, 0).mDataCentre.Text(), vms, 1).front();
+  const auto self = std::find(vms.begin(), vms.end(), bridge) - vms.begin();
+  RunSeconds(aState, static_cast<std::size_t>(self));
+}
+BENCHMARK(MembershipBridgeMinute)
+  ->Args({ 37, 333 })
+  ->Args({ 367, 3300 })
+  ->Unit(benchmark::kMillisecond);
+
+void
+MembershipTick(benchmark::State& aState)
+{
+  Driver driver(static_cast<std::size_t>(aState.range(0)),
+                static_cast<std::size_t>(aState.range(1)));
+  // Time does not advance, so no probe is due: the cost of an idle tick.
+  for (auto _ : aState) {
+    benchmark::DoNotOptimize(driver.mMembership.Tick(driver.mNow));
+  }
+}
+BENCHMARK(MembershipTick)->Args({ 3, 27 })->Args({ 37, 333 })->Args({ 367, 3300 });
+
+/// One changed member and the view after it.
+void
+MembershipViewAfterChange(benchmark::State& aState)
+{
+  Driver driver(static_cast<std::size_t>(aState.range(0)),
+                static_cast<std::size_t>(aState.range(1)));
+  for (auto _ : aState) {
+    driver.ChangeMember();
+    benchmark::DoNotOptimize(driver.mMembership.View());
+  }
+}
+BENCHMARK(MembershipViewAfterChange)
+  ->Args({ 3, 27 })
+  ->Args({ 37, 333 })
+  ->Args({ 367, 3300 })
+  ->Unit(benchmark::kMicrosecond);
+
+/// Bytes of single messages; the time is that of encoding.
+void
+PingEncoding(benchmark::State& aState)
+{
+  PingMessage ping;
+  ping.mSequence = 100'000;
+  ping.mSelf = { MakeVm(0, 0), MemberState::Alive, 3 };
+  for (std::int64_t i = 0; i < aState.range(0); ++i) {
+    ping.mUpdates.push_back(
+      { MakeVm(0, static_cast<std::size_t>(i)), MemberState::Alive, 3 });
+  }
+  std::size_t bytes = 0;
+  for (auto _ : aState) {
+    bytes = WireBytes(ping);
+  }
+  aState.counters["bytes"] = static_cast<double>(bytes);
+}
+BENCHMARK(PingEncoding)->Arg(0)->Arg(1)->Arg(6)->Arg(367);
+
+Fact
+MakeFact(std::size_t aNumber)
+{
+  return { Numbered("upstream-leaving/counter-app", aNumber), 1'700'000'000'000 + aNumber,
+           "1", MakeVm(0, aNumber % kLocalVms).mVm, 600'000 };
+}
+
+std::vector<FactPeer>
+Peers(std::size_t aLocal)
+{
+  std::vector<FactPeer> peers;
+  for (const auto& vm : LocalVms(aLocal)) {
+    peers.push_back({ vm, "tcp://10.0.0.1:7400" });
+  }
+  return peers;
+}
+
+void
+FactPushEncoding(benchmark::State& aState)
+{
+  FactPushMessage push;
+  for (std::int64_t i = 0; i < aState.range(0); ++i) {
+    push.mFacts.push_back(MakeFact(static_cast<std::size_t>(i)));
+  }
+  std::size_t bytes = 0;
+  for (auto _ : aState) {
+    bytes = WireBytes(push);
+  }
+  aState.counters["bytes"] = static_cast<double>(bytes);
+}
+BENCHMARK(FactPushEncoding)->Arg(1)->Arg(4)->Arg(256);
+
+/// A new fact into a store with the given number of facts.
+void
+FactStoreAccept(benchmark::State& aState)
+{
+  const auto before = HeapBytes();
+  FactStore store(MakeVm(0, 0).mVm, {}, SeededRandom(kSeed));
+  store.SetPeers(Peers(kLocalVms));
+  TimePoint now{ std::chrono::seconds(1) };
+  const auto count = static_cast<std::size_t>(aState.range(0));
+  for (std::size_t i = 0; i < count; ++i) {
+    now += std::chrono::milliseconds(1);
+    store.OnFacts(MakeVm(0, 1 + i % (kLocalVms - 1)).mVm, { MakeFact(i) }, now);
+  }
+  aState.counters["heap_B"] = static_cast<double>(HeapBytes() - before);
+  auto fact = MakeFact(1);
+  for (auto _ : aState) {
+    ++fact.mVersion;
+    now += std::chrono::milliseconds(10);
+    benchmark::DoNotOptimize(store.OnFacts(MakeVm(0, 1).mVm, { fact }, now));
+  }
+  aState.counters["facts"] = static_cast<double>(store.Size());
+}
+BENCHMARK(FactStoreAccept)->Arg(30)->Arg(300)->Arg(4096);
+
+void
+FactStoreTick(benchmark::State& aState)
+{
+  FactStore store(MakeVm(0, 0).mVm, {}, SeededRandom(kSeed));
+  store.SetPeers(Peers(kLocalVms));
+  TimePoint now{ std::chrono::seconds(1) };
+  for (std::size_t i = 0; i < static_cast<std::size_t>(aState.range(0)); ++i) {
+    now += std::chrono::milliseconds(1);
+    store.OnFacts(MakeVm(0, 1 + i % (kLocalVms - 1)).mVm, { MakeFact(i) }, now);
+  }
+  for (auto _ : aState) {
+    benchmark::DoNotOptimize(store.Tick(now));
+  }
+}
+BENCHMARK(FactStoreTick)->Arg(30)->Arg(300)->Arg(4096);
+
+void
+OwnersOfOne(benchmark::State& aState)
+{
+  const auto vms = LocalVms(static_cast<std::size_t>(aState.range(0)));
+  const UpstreamId upstream(Numbered("counter-app", 7));
+  for (auto _ : aState) {
+    benchmark::DoNotOptimize(Owners(upstream, vms, 25));
+  }
+}
+BENCHMARK(OwnersOfOne)->Arg(3)->Arg(37)->Arg(367);
+
+MemberView
+ViewOf(std::size_t aLocal, std::uint64_t aEpoch)
+{
+  MemberView view;
+  view.mEpoch = aEpoch;
+  view.mSelf = MakeVm(0, 0).mVm;
+  view.mJoinedAt = TimePoint{};
+  for (std::size_t i = 0; i < aLocal; ++i) {
+    const auto identity = MakeVm(0, i);
+    view.mLocalLive.push_back(identity.mVm);
+    view.mLocalSharers.push_back(identity.mVm);
+    Member member;
+    member.mIdentity = identity;
+    member.mState = MemberState::Alive;
+    view.mMembers.emplace(identity.mVm, member);
+  }
+  return view;
+}
+
+/// A change of the sharers and then the share of each instance. Arguments: local VMs,
+/// instances.
+void
+ConnectionBudgetChange(benchmark::State& aState)
+{
+  const auto local = static_cast<std::size_t>(aState.range(0));
+  const auto instances = static_cast<std::size_t>(aState.range(1));
+  const auto before = HeapBytes();
+  ConnectionBudget budget(MakeVm(0, 0).mVm, {}, TimePoint{});
+  std::vector<UpstreamId> upstreams;
+  for (std::size_t i = 0; i < instances; ++i) {
+    upstreams.emplace_back(Numbered("counter-app", i));
+    budget.SetLimit(upstreams.back(), 25);
+  }
+  const TimePoint now{ std::chrono::hours(1) };
+  std::uint64_t epoch = 1;
+  std::uint64_t owned = 0;
+  for (auto _ : aState) {
+    budget.OnView(ViewOf(local - epoch % 2, epoch), now);
+    ++epoch;
+    owned = 0;
+    for (const auto& upstream : upstreams) {
+      owned += budget.Allowed(upstream, now);
+    }
+  }
+  aState.counters["connections"] = static_cast<double>(owned);
+  aState.counters["heap_B"] = static_cast<double>(HeapBytes() - before);
+}
+BENCHMARK(ConnectionBudgetChange)
+  ->Args({ 3, 963 })
+  ->Args({ 37, 963 })
+  ->Args({ 367, 30 })
+  ->Args({ 367, 300 })
+  ->Args({ 367, 963 })
+  ->Unit(benchmark::kMicrosecond);
+
+std::string
+InventoryBody(std::size_t aVms, std::size_t aUpstreams)
+{
+  std::string body = R"({"vms":[)";
+  for (std::size_t i = 0; i < aVms; ++i) {
+    const auto vm = MakeVm(i % kDataCentres, i / kDataCentres);
+    body += (i == 0 ? "" : ",") + std::string(R"({"vm":")") + vm.mVm.Text() +
+            R"(","data_centre":")" + vm.mDataCentre.Text() + R"(","region":")" +
+            vm.mRegion.Text() + R"(","fleet":")" + vm.mAddress.substr(6) +
+            R"(","state":"live"})";
+  }
+  body += R"(],"upstreams":[)";
+  for (std::size_t i = 0; i < aUpstreams; ++i) {
+    body += (i == 0 ? "" : ",") + std::string(R"({"upstream":")") +
+            Numbered("counter-app", i) + R"(","index":"counter-app","data_centre":")" +
+            MakeVm(i % kDataCentres, 0).mDataCentre.Text() +
+            R"(","address":"10.128.100.200:9000","state":"live","connection_limit":25})";
+  }
+  return body + "]}";
+}
+
+/// The platform's list. Arguments: VMs, upstreams.
+void
+InventoryParse(benchmark::State& aState)
+{
+  const auto body = InventoryBody(static_cast<std::size_t>(aState.range(0)),
+                                  static_cast<std::size_t>(aState.range(1)));
+  for (auto _ : aState) {
+    benchmark::DoNotOptimize(
+      Require([&] { return ParsePlatformInventory(body, "platform"); }));
+  }
+  aState.counters["bytes"] = static_cast<double>(body.size());
+}
+BENCHMARK(InventoryParse)
+  ->Args({ 27, 60 })
+  ->Args({ 333, 867 })
+  ->Args({ 3300, 8667 })
+  ->Unit(benchmark::kMillisecond);
+
+} // namespace
+
+} // namespace wasabispar::capacity
