--- a/src/wasabispar/upstream/snapshot_directory.cpp
+++ b/src/wasabispar/upstream/snapshot_directory.cpp
@@ -87,14 +87,27 @@
     std::vector<UpstreamId> mHolders;
     bool mReachable = false;
   };
-  std::map<SnapshotVersion, std::map<ShardId, Shard>, std::greater<>> versions;
-  for (const auto& upstream : mTable.OfIndex(aIndex, aNow)) {
+  struct Version
+  {
+    std::map<ShardId, Shard> mShards;
+    /// The map that was added last.
+    const std::vector<ShardId>* mLastMap = nullptr;
+  };
+  std::map<SnapshotVersion, Version, std::greater<>> versions;
+  // Kept until the end, because mLastMap points into it.
+  const auto upstreams = mTable.OfIndex(aIndex, aNow);
+  for (const auto& upstream : upstreams) {
     const bool usable = !upstream.mLeaving && !upstream.mSuspect && upstream.mLastReply &&
                         aNow - *upstream.mLastReply <= mOptions.mRecent;
     for (const auto& declared : *upstream.mVersions) {
-      auto& shards = versions[declared.mVersion];
-      for (const auto& shard : declared.mMap) {
-        shards.try_emplace(shard);
+      auto& [shards, lastMap] = versions[declared.mVersion];
+      // All upstreams of a version normally declare the same map. Adding it for each of
+      // 963 upstreams with 1,200 shards took 121 ms, longer than the view is kept.
+      if (lastMap == nullptr || *lastMap != declared.mMap) {
+        for (const auto& shard : declared.mMap) {
+          shards.try_emplace(shard);
+        }
+        lastMap = &declared.mMap;
       }
       for (const auto& shard : declared.mHeld) {
         auto& entry = shards[shard];
@@ -106,7 +119,8 @@
       }
     }
   }
-  for (auto& [number, shards] : versions) {
+  for (auto& [number, merged] : versions) {
+    auto& shards = merged.mShards;
     VersionEntry version;
     version.mSnapshot.mIndex = aIndex;
     version.mSnapshot.mVersion = number;
