Visit the shards of a query only when something is due

Without the count of open sub-requests, the check of the coverage or the retry of a failed reply the tests of the layer fail.

--- a/include/wasabispar/query/query.hpp
+++ b/include/wasabispar/query/query.hpp
@@ -205,12 +205,15 @@
             ReplicaChoice aChoice, TimePoint aNow, Actions& aActions);
   ReplicaChoice Choose(const ShardId& aShard, const ShardState& aState, bool aHedge,
                        TimePoint aNow) const;
-  void Settle(const SubReply& aReply, ExplainSub& aSub, TimePoint aNow,
+  /// Returns whether the reply counted.
+  bool Settle(const SubReply& aReply, ExplainSub& aSub, TimePoint aNow,
               Actions& aActions);
   void CancelOpen(ShardState& aState, TimePoint aNow, Actions& aActions);
   bool MayStillAnswer(const ShardState& aState) const;
   bool MayHedge(const ShardState& aState) const;
   bool MayFinish(TimePoint aNow) const;
+  bool IsSatisfied(TimePoint aNow) const;
+  bool IsNothingDue(TimePoint aNow) const;
   bool IsRefusal() const;
   bool AnyMayHaveRun() const;
   void FinishNow(TimePoint aNow, Actions& aActions);
@@ -224,6 +227,8 @@
   std::map<ShardId, std::vector<Hit>> mHits;
   /// Delay of hedges at the pinned version; empty: no hedges.
   std::optional<Duration> mHedgeDelay;
+  /// Sub-requests without a reply: the sum of ShardState::mOpen over all shards.
+  std::size_t mOpenSubs = 0;
   std::uint32_t mReplans = 0;
   bool mStarted = false;
   bool mFinished = false;
--- a/src/wasabispar/query/query.cpp
+++ b/src/wasabispar/query/query.cpp
@@ -64,18 +64,30 @@
   Actions actions;
   const bool known = aReply.mSub >= 1 && aReply.mSub <= mExplain.mSubs.size();
   const bool waited = known && mExplain.mSubs[aReply.mSub - 1].mFate == SubFate::Open;
+  bool needsRetry = false;
   if (!waited || mFinished) {
     ++mExplain.mIgnoredReplies;
   } else {
-    Settle(aReply, mExplain.mSubs[aReply.mSub - 1], aNow, actions);
+    needsRetry = !Settle(aReply, mExplain.mSubs[aReply.mSub - 1], aNow, actions);
   }
   // A reply that is ignored may still be the first event after the target or deadline.
-  if (mStarted && !mFinished) {
+  const bool waits = !needsRetry && actions.empty() && IsNothingDue(aNow);
+  if (mStarted && !mFinished && !waits) {
     Advance(aNow, actions);
   }
   return actions;
 }
 
+/// Whether the query only waits for open sub-requests. Replans, hedges and looks at
+/// shards without an open one have a timer. Advance() visits all shards, and calling it
+/// for each reply took 31 ms in a query over 1,200 shards.
+bool
+Query::IsNothingDue(TimePoint aNow) const
+{
+  const bool timerDue = !mArmed || *mArmed <= aNow;
+  return !timerDue && mOpenSubs > 0 && !IsSatisfied(aNow);
+}
+
 std::vector<QueryAction>
 Query::OnTimer(TimePoint aNow)
 {
@@ -286,6 +298,7 @@
     SendSub{ sub.mSub, sub.mVersion, aShard, sub.mUpstream, aKind, mPlan.mDeadline });
   aState.mTried.push_back(sub.mUpstream);
   aState.mOpen.push_back(mExplain.mSubs.size());
+  ++mOpenSubs;
   if (mHedgeDelay) {
     aState.mHedgeAt = aNow + *mHedgeDelay;
   }
@@ -306,11 +319,11 @@
   return mHooks.mChooseReplica(request, aNow);
 }
 
-void
+bool
 Query::Settle(const SubReply& aReply, ExplainSub& aSub, TimePoint aNow, Actions& aActions)
 {
   auto& state = mShards.at(aSub.mShard);
-  std::erase(state.mOpen, aSub.mSub - 1);
+  mOpenSubs -= std::erase(state.mOpen, aSub.mSub - 1);
   aSub.mEnd = aNow;
   aSub.mStatus = aReply.mStatus;
   const bool matches = aReply.mVersion == aSub.mVersion && aReply.mShard == aSub.mShard;
@@ -319,7 +332,7 @@
     state.mCovered = mCoverage.Add(aSub.mShard);
     mHits.emplace(aSub.mShard, aReply.mHits);
     CancelOpen(state, aNow, aActions);
-    return;
+    return true;
   }
   const bool mismatch = aReply.mStatus == ExchangeStatus::Ok;
   aSub.mFate = mismatch ? SubFate::Mismatch : SubFate::Failed;
@@ -332,7 +345,7 @@
     state.mMayRetry = false;
   }
   if (!state.mOpen.empty() || mPlan.mIsolated || aNow >= mPlan.mDeadline) {
-    return;
+    return false;
   }
   if (MayStillAnswer(state)) {
     TryRetry(aSub.mShard, state, aNow, aActions);
@@ -341,6 +354,7 @@
     mSnapshotGone = true;
     mReplanAt = aNow;
   }
+  return false;
 }
 
 void
@@ -352,6 +366,7 @@
     sub.mFate = SubFate::Cancelled;
     aActions.emplace_back(CancelSub{ sub.mSub, sub.mUpstream });
   }
+  mOpenSubs -= aState.mOpen.size();
   aState.mOpen.clear();
 }
 
@@ -375,14 +390,21 @@
 bool
 Query::MayFinish(TimePoint aNow) const
 {
-  if (aNow >= mPlan.mDeadline || mCoverage.IsComplete()) {
+  if (IsSatisfied(aNow)) {
     return true;
   }
   const bool hopeless = (!mSnapshotGone || mReplans >= kMaxReplans) &&
                         std::ranges::none_of(mShards, [&](const auto& aItem) {
                           return !aItem.second.mCovered && MayStillAnswer(aItem.second);
                         });
-  if (hopeless) {
+  return hopeless;
+}
+
+/// Whether the query ends by time or coverage, whatever the open sub-requests bring.
+bool
+Query::IsSatisfied(TimePoint aNow) const
+{
+  if (aNow >= mPlan.mDeadline || mCoverage.IsComplete()) {
     return true;
   }
   if (mPlan.mPolicy == PartialPolicy::WaitForCoverage) {
