--- a/bench/capacity/catalogue_bench.cpp
+++ b/bench/capacity/catalogue_bench.cpp
@@ -4,6 +4,8 @@
 #include "wasabispar/catalogue/catalogue.hpp"
 #include "wasabispar/catalogue/profile_codec.hpp"
 
+#include <benchmark/benchmark.h>
+
 namespace wasabispar::capacity {
 
 namespace {
--- a/bench/capacity/fixture.hpp
+++ b/bench/capacity/fixture.hpp
@@ -7,11 +7,10 @@
 #include "wasabispar/net/fleet_codec.hpp"
 #include "wasabispar/upstream/upstream_table.hpp"
 
-#include <benchmark/benchmark.h>
-
 #include <cstdlib>
 #include <iostream>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace wasabispar::capacity {
--- a/bench/capacity/fleet_bench.cpp
+++ b/bench/capacity/fleet_bench.cpp
@@ -1,13 +1,15 @@
 /// @file
 /// @brief Membership, facts, ownership and the platform's list at full size.
 #include "fixture.hpp"
+#include "membership_driver.hpp"
 #include "wasabispar/base/hash.hpp"
 #include "wasabispar/base/random.hpp"
 #include "wasabispar/fleet/fact_store.hpp"
-#include "wasabispar/fleet/membership.hpp"
 #include "wasabispar/fleet/ownership.hpp"
 #include "wasabispar/net/platform_client.hpp"
 
+#include <benchmark/benchmark.h>
+
 #include <algorithm>
 #include <memory>
 
@@ -15,134 +17,6 @@
 
 namespace {
 
-constexpr Duration kTick = std::chrono::milliseconds(50);
-/// 75 failures with a return each, and 1,800 restarts or replacements a day.
-constexpr Duration kChangePeriod = std::chrono::seconds(24 * 3600 / (2 * 75 + 1800));
-
-struct Traffic
-{
-  std::uint64_t mMessages = 0;
-  std::uint64_t mBytes = 0;
-
-  void Add(const FleetMessage& aMessage)
-  {
-    ++mMessages;
-    mBytes += WireBytes(aMessage);
-  }
-};
-
-FleetMessage
-ToFleet(const SwimMessage& aMessage)
-{
-  return std::visit([](const auto& aPart) { return FleetMessage(aPart); }, aMessage);
-}
-
-/// One real VM; all others answer its probes at once.
-class Driver
-{
-public:
-  Driver(std::size_t aLocal, std::size_t aFleet, std::size_t aSelf = 0)
-    : mSelf(aSelf)
-    , mMembership(MakeVm(0, aSelf), {}, SeededRandom(kSeed), mNow)
-  {
-    const auto remote = aFleet > aLocal ? (aFleet - aLocal) / (kDataCentres - 1) : 0;
-    std::vector<ListedVm> list;
-    for (std::size_t centre = 0; centre < kDataCentres; ++centre) {
-      for (std::size_t i = 0; i < (centre == 0 ? aLocal : remote); ++i) {
-        mVms.push_back({ MakeVm(centre, i), MemberState::Alive, 1 });
-        list.push_back({ mVms.back().mIdentity, ListedState::Live });
-      }
-    }
-    for (std::size_t i = 0; i < mVms.size(); ++i) {
-      mIndex.emplace(mVms[i].mIdentity.mVm, i);
-    }
-    mMembership.OnPlatformList(list, mNow);
-    // All others are announced by one of them, as views are compared at the start.
-    const auto& announcer = mVms[Other()];
-    AckMessage announce;
-    announce.mSubject = announcer;
-    announce.mUpdates = mVms;
-    mMembership.OnMessage(announcer.mIdentity.mVm, announcer.mIdentity.mIncarnation,
-                          announce, mNow);
-    Run(std::chrono::seconds(60), false);
-    mSent = {};
-    mReceived = {};
-  }
-
-  /// Changes members at the rate of the whole fleet when @p aChanges is set.
-  void Run(Duration aTime, bool aChanges)
-  {
-    const auto end = mNow + aTime;
-    auto nextChange = mNow + kChangePeriod;
-    while (mNow < end) {
-      mNow += kTick;
-      Answer(mMembership.Tick(mNow).mSends);
-      if (aChanges && mNow >= nextChange) {
-        nextChange += kChangePeriod;
-        ChangeMember();
-      }
-    }
-  }
-
-  void ChangeMember()
-  {
-    const auto index = mRandom(mVms.size());
-    if (index == mSelf) {
-      return;
-    }
-    auto& changed = mVms[index];
-    changed.mIdentity.mIncarnation = changed.mIdentity.mIncarnation.Next();
-    PingMessage ping;
-    ping.mSequence = 1;
-    ping.mSelf = mVms[Other()];
-    ping.mUpdates.push_back(changed);
-    Deliver(ping.mSelf, ping);
-  }
-
-  /// A local VM other than the one under test.
-  std::size_t Other() const { return mSelf == 0 ? 1 : 0; }
-
-  void Answer(const std::vector<SwimSend>& aSends)
-  {
-    for (const auto& send : aSends) {
-      mSent.Add(ToFleet(send.mMessage));
-      const auto* ping = std::get_if<PingMessage>(&send.mMessage);
-      if (!ping) {
-        continue;
-      }
-      const auto& peer = mVms[mIndex.at(send.mTo)];
-      AckMessage ack;
-      ack.mSequence = ping->mSequence;
-      ack.mSubject = peer;
-      Deliver(peer, ack);
-      // By symmetry this VM is probed as often as it probes.
-      PingMessage probe;
-      probe.mSequence = ping->mSequence;
-      probe.mSelf = peer;
-      Deliver(peer, probe);
-    }
-  }
-
-  void Deliver(const MemberUpdate& aFrom, const SwimMessage& aMessage)
-  {
-    mReceived.Add(ToFleet(aMessage));
-    const auto actions = mMembership.OnMessage(
-      aFrom.mIdentity.mVm, aFrom.mIdentity.mIncarnation, aMessage, mNow);
-    for (const auto& send : actions.mSends) {
-      mSent.Add(ToFleet(send.mMessage));
-    }
-  }
-
-  std::size_t mSelf;
-  TimePoint mNow{ std::chrono::seconds(1000) };
-  RandomFn mRandom = SeededRandom(kSeed + 1);
-  std::vector<MemberUpdate> mVms;
-  std::map<VmId, std::size_t> mIndex;
-  Traffic mSent;
-  Traffic mReceived;
-  Membership mMembership;
-};
-
 /// Sets a counter to a rate per virtual second.
 void
 Report(benchmark::State& aState, const char* aName, double aAmount, Duration aTime)
@@ -155,8 +29,8 @@
 {
   const auto before = HeapBytes();
   auto driver =
-    std::make_unique<Driver>(static_cast<std::size_t>(aState.range(0)),
-                             static_cast<std::size_t>(aState.range(1)), aSelf);
+    std::make_unique<MembershipDriver>(static_cast<std::size_t>(aState.range(0)),
+                                       static_cast<std::size_t>(aState.range(1)), aSelf);
   aState.counters["heap_B"] = static_cast<double>(HeapBytes() - before);
   const auto start = driver->mNow;
   for (auto _ : aState) {
@@ -200,8 +74,8 @@
 void
 MembershipTick(benchmark::State& aState)
 {
-  Driver driver(static_cast<std::size_t>(aState.range(0)),
-                static_cast<std::size_t>(aState.range(1)));
+  MembershipDriver driver(static_cast<std::size_t>(aState.range(0)),
+                          static_cast<std::size_t>(aState.range(1)));
   // Time does not advance, so no probe is due: the cost of an idle tick.
   for (auto _ : aState) {
     benchmark::DoNotOptimize(driver.mMembership.Tick(driver.mNow));
@@ -213,8 +87,8 @@
 void
 MembershipViewAfterChange(benchmark::State& aState)
 {
-  Driver driver(static_cast<std::size_t>(aState.range(0)),
-                static_cast<std::size_t>(aState.range(1)));
+  MembershipDriver driver(static_cast<std::size_t>(aState.range(0)),
+                          static_cast<std::size_t>(aState.range(1)));
   for (auto _ : aState) {
     driver.ChangeMember();
     benchmark::DoNotOptimize(driver.mMembership.View());
--- a/bench/capacity/query_bench.cpp
+++ b/bench/capacity/query_bench.cpp
@@ -7,6 +7,8 @@
 #include "wasabispar/upstream/replica_choice.hpp"
 #include "wasabispar/upstream/snapshot_directory.hpp"
 
+#include <benchmark/benchmark.h>
+
 #include <algorithm>
 
 namespace wasabispar::capacity {
--- a/bench/capacity/traffic_bench.cpp
+++ b/bench/capacity/traffic_bench.cpp
@@ -5,6 +5,8 @@
 #include "wasabispar/execution/execution_ledger.hpp"
 #include "wasabispar/net/upstream_codec.hpp"
 
+#include <benchmark/benchmark.h>
+
 namespace wasabispar::capacity {
 
 namespace {
