--- a/bench/capacity/fleet_bench.cpp
+++ b/bench/capacity/fleet_bench.cpp
@@ -100,6 +100,26 @@
   ->Args({ 367, 3300 })
   ->Unit(benchmark::kMicrosecond);
 
+/// The platform's list into a Membership that knows all VMs.
+void
+MembershipList(benchmark::State& aState)
+{
+  MembershipDriver driver(static_cast<std::size_t>(aState.range(0)),
+                          static_cast<std::size_t>(aState.range(1)));
+  std::vector<ListedVm> list;
+  for (const auto& vm : driver.mVms) {
+    list.push_back({ vm.mIdentity, ListedState::Live });
+  }
+  for (auto _ : aState) {
+    benchmark::DoNotOptimize(driver.mMembership.OnPlatformList(list, driver.mNow));
+  }
+}
+BENCHMARK(MembershipList)
+  ->Args({ 3, 27 })
+  ->Args({ 37, 333 })
+  ->Args({ 367, 3300 })
+  ->Unit(benchmark::kMicrosecond);
+
 /// Bytes of single messages; the time is that of encoding.
 void
 PingEncoding(benchmark::State& aState)
--- a/bench/capacity/query_bench.cpp
+++ b/bench/capacity/query_bench.cpp
@@ -10,6 +10,7 @@
 #include <benchmark/benchmark.h>
 
 #include <algorithm>
+#include <memory>
 
 namespace wasabispar::capacity {
 
@@ -153,6 +154,27 @@
   ->Arg(1200)
   ->Unit(benchmark::kMicrosecond);
 
+/// The record that is kept for `GET /v1/explain/<id>`. Argument: shards.
+void
+ExplainRecordCopy(benchmark::State& aState)
+{
+  const auto shards = static_cast<std::size_t>(aState.range(0));
+  auto hooks = DefaultQueryHooks();
+  hooks.mChooseReplica = [](const ReplicaRequest&, TimePoint) {
+    return ReplicaChoice{ UpstreamId("counter-app-00007"), {} };
+  };
+  Query query(MakePlan(shards), hooks);
+  query.Start(kStart);
+  std::size_t heap = 0;
+  for (auto _ : aState) {
+    const auto before = HeapBytes();
+    const auto record = std::make_unique<ExplainRecord>(query.Explain());
+    heap = HeapBytes() - before;
+  }
+  aState.counters["heap_B"] = static_cast<double>(heap);
+}
+BENCHMARK(ExplainRecordCopy)->Arg(15)->Arg(150)->Arg(1200)->Unit(benchmark::kMicrosecond);
+
 void
 Merge(benchmark::State& aState)
 {
