--- a/tests/capacity/capacity_test.cpp
+++ b/tests/capacity/capacity_test.cpp
@@ -57,7 +57,8 @@
     items.push_back({ ProfileName(Numbered("fitting", i)), Revision(i + 1), false,
                       SerializeProfile(profile) });
   }
-  return PlatformList(Revision(items.size()), std::move(items));
+  const Revision newest(items.size());
+  return PlatformList(newest, std::move(items));
 }
 
 } // namespace
