Try all replicas of a shard again after transient failures

A query never tried a replica of a shard twice, so an answer stayed incomplete when all replicas of a shard failed once by a transient failure (connection failed or lost, shed reply). A shard of an idempotent plan now begins a further round over its usable replicas after 5 ms, doubled with each round, with a jitter of 50%, at most 6 retries in all.

A retry takes a token as before. Without one, wait_for_coverage forces it unless the last reply was shed or upstreams shed load within the last second; answer_at_target forces only the first retry, as before. Isolated plans and plans that are not idempotent never begin a round; replicas that drain or no longer hold the version or shard are left out of it.

--- a/include/wasabispar/query/query.hpp
+++ b/include/wasabispar/query/query.hpp
@@ -151,13 +151,23 @@
 /// retried once all the same (`forced-retry`) and counted, because the coverage promise
 /// goes before the extra-load target; but not after a shed reply. The first replan needs
 /// no token either; a second one does. See docs/decisions/forced-retries.md.
+///
+/// A shard of an idempotent plan whose usable replicas have all failed by a transient
+/// failure (shed, connection failed or lost) is tried on them again after a growing
+/// pause. Under `wait_for_coverage` these retries need no token unless the last reply was
+/// shed. See docs/decisions/retry-rounds.md.
 class Query
 {
 public:
   /// A query is replanned at a newer version at most this often.
   static constexpr std::uint32_t kMaxReplans = 2;
   /// Retries of one shard at one version.
-  static constexpr std::uint32_t kMaxRetries = 2;
+  static constexpr std::uint32_t kMaxRetries = 6;
+  /// The same for a plan that is not idempotent, which tries no replica twice.
+  static constexpr std::uint32_t kMaxRetriesOnce = 2;
+  /// Pause before the second round over the replicas of a shard; doubles with each round.
+  /// The jitter makes it 50% to 150% of that.
+  static constexpr Duration kRoundPause = std::chrono::milliseconds(5);
   /// Pause before a shard without a usable replica is looked at again.
   static constexpr Duration kRecheck = std::chrono::milliseconds(20);
 
@@ -176,7 +186,15 @@
 private:
   struct ShardState
   {
+    /// Replicas that are not chosen: tried in this round, or in mUnusable.
     std::vector<UpstreamId> mTried;
+    /// Replicas whose failure was not transient; not tried again at this version.
+    std::vector<UpstreamId> mUnusable;
+    /// Sub-requests sent at this version.
+    std::uint32_t mTries = 0;
+    std::uint32_t mRounds = 0;
+    /// When the next round may begin; empty: the replicas of this round are not used up.
+    std::optional<TimePoint> mRoundAt;
     /// Sub-requests without a reply; indices of mExplain.mSubs.
     std::vector<std::size_t> mOpen;
     std::uint32_t mRetries = 0;
@@ -184,7 +202,7 @@
     bool mCovered = false;
     /// False after an end that makes no sense to retry.
     bool mMayRetry = true;
-    /// The only try failed for a reason other than load.
+    /// The last failure had a reason other than load.
     bool mMayForce = true;
     /// When a hedge is due; empty: none.
     std::optional<TimePoint> mHedgeAt;
@@ -203,6 +221,10 @@
                 Actions& aActions);
   void TryHedge(const ShardId& aShard, ShardState& aState, TimePoint aNow,
                 Actions& aActions);
+  ReplicaChoice ChooseForRetry(const ShardId& aShard, ShardState& aState,
+                               TimePoint aNow) const;
+  bool MayForce(const ShardState& aState) const;
+  Duration RoundPause(const ShardId& aShard, const ShardState& aState) const;
   bool TryReplan(TimePoint aNow, Actions& aActions);
   void Send(const ShardId& aShard, ShardState& aState, SubKind aKind, std::string aWhy,
             ReplicaChoice aChoice, TimePoint aNow, Actions& aActions);
--- a/src/wasabispar/query/query.cpp
+++ b/src/wasabispar/query/query.cpp
@@ -2,6 +2,8 @@
 /// @brief The state machine of one running search.
 #include "wasabispar/query/query.hpp"
 
+#include "wasabispar/base/hash.hpp"
+
 #include <algorithm>
 #include <string>
 #include <utility>
@@ -29,6 +31,14 @@
   return text;
 }
 
+/// Whether the same replica may succeed a moment later.
+bool
+IsTransient(ExchangeStatus aStatus)
+{
+  return aStatus == ExchangeStatus::Shed || aStatus == ExchangeStatus::ConnectFailed ||
+         aStatus == ExchangeStatus::ConnectionLost;
+}
+
 void
 Earlier(std::optional<TimePoint>& aNext, TimePoint aAt)
 {
@@ -164,7 +174,7 @@
     if (open) {
       return;
     }
-    if (!state.mCovered && state.mTried.empty()) {
+    if (!state.mCovered && state.mTries == 0) {
       SendFirst(shard, state, aNow, aActions);
       if (!state.mOpen.empty()) {
         return;
@@ -183,9 +193,10 @@
     }
     if (!state.mOpen.empty()) {
       TryHedge(shard, state, aNow, aActions);
-    } else if (recheck && state.mTried.empty()) {
+    } else if (recheck && state.mTries == 0) {
       SendFirst(shard, state, aNow, aActions);
-    } else if (recheck && MayStillAnswer(state)) {
+    } else if ((recheck || (state.mRoundAt && *state.mRoundAt <= aNow)) &&
+               MayStillAnswer(state)) {
       TryRetry(shard, state, aNow, aActions);
     }
   }
@@ -209,14 +220,13 @@
 Query::TryRetry(const ShardId& aShard, ShardState& aState, TimePoint aNow,
                 Actions& aActions)
 {
-  auto choice = Choose(aShard, aState, false, aNow);
+  auto choice = ChooseForRetry(aShard, aState, aNow);
   if (!choice.mUpstream) {
     return;
   }
   auto kind = SubKind::Retry;
   if (!mHooks.mTakeBudget(ExtraLoad::Retry, aNow)) {
-    const bool first = aState.mTried.size() == 1 && aState.mMayForce;
-    if (!first || !mHooks.mTakeForced(aNow)) {
+    if (!MayForce(aState) || !mHooks.mTakeForced(aNow)) {
       return;
     }
     kind = SubKind::ForcedRetry;
@@ -225,6 +235,48 @@
   Send(aShard, aState, kind, aState.mWhy, std::move(choice), aNow, aActions);
 }
 
+/// A replica that was not tried in this round. Without one the next round begins after
+/// its pause.
+ReplicaChoice
+Query::ChooseForRetry(const ShardId& aShard, ShardState& aState, TimePoint aNow) const
+{
+  auto choice = Choose(aShard, aState, false, aNow);
+  const bool again = mPlan.mIdempotent && aState.mTried.size() > aState.mUnusable.size();
+  if (choice.mUpstream || !again) {
+    return choice;
+  }
+  if (!aState.mRoundAt) {
+    aState.mRoundAt = aNow + RoundPause(aShard, aState);
+  }
+  if (aNow < *aState.mRoundAt) {
+    return choice;
+  }
+  // Replicas that are suspect now are looked at again at the next recheck.
+  aState.mRoundAt.reset();
+  ++aState.mRounds;
+  aState.mTried = aState.mUnusable;
+  return Choose(aShard, aState, false, aNow);
+}
+
+/// Whether a retry may be sent without a token.
+bool
+Query::MayForce(const ShardState& aState) const
+{
+  const bool wait = mPlan.mPolicy == PartialPolicy::WaitForCoverage && mPlan.mIdempotent;
+  return aState.mMayForce && (wait || aState.mTries == 1);
+}
+
+/// The jitter depends on request, shard and round, so that the shards and queries that
+/// failed together are not retried together, and a trace gives the same pauses each time.
+Duration
+Query::RoundPause(const ShardId& aShard, const ShardState& aState) const
+{
+  const auto seed = mPlan.mRequest.mIncarnation.Value() * 31 + mPlan.mRequest.mCounter;
+  const auto draw = HashText(aShard.Text(), seed * 31 + aState.mRounds) % 1000;
+  const auto base = kRoundPause * (1U << std::min(aState.mRounds, 5U));
+  return base / 2 + base * static_cast<Duration::rep>(draw) / 1000;
+}
+
 void
 Query::TryHedge(const ShardId& aShard, ShardState& aState, TimePoint aNow,
                 Actions& aActions)
@@ -285,6 +337,8 @@
   aActions.emplace_back(
     SendSub{ sub.mSub, sub.mVersion, aShard, sub.mUpstream, aKind, mPlan.mDeadline });
   aState.mTried.push_back(sub.mUpstream);
+  aState.mRoundAt.reset();
+  ++aState.mTries;
   aState.mOpen.push_back(mExplain.mSubs.size());
   if (mHedgeDelay) {
     aState.mHedgeAt = aNow + *mHedgeDelay;
@@ -327,6 +381,9 @@
                  ? "answered version " + std::to_string(aReply.mVersion.Value()) +
                      " shard " + aReply.mShard.Text() + " by " + aSub.mUpstream.Text()
                  : By(aReply.mStatus, aSub.mUpstream);
+  if (mismatch || !IsTransient(aReply.mStatus)) {
+    state.mUnusable.push_back(aSub.mUpstream);
+  }
   state.mMayForce = aReply.mStatus != ExchangeStatus::Shed;
   if (!mismatch && !IsRetryable(aReply.mStatus, mPlan.mIdempotent)) {
     state.mMayRetry = false;
@@ -359,10 +416,11 @@
 bool
 Query::MayStillAnswer(const ShardState& aState) const
 {
-  if (!aState.mOpen.empty() || aState.mTried.empty()) {
+  if (!aState.mOpen.empty() || aState.mTries == 0) {
     return true;
   }
-  return aState.mMayRetry && aState.mRetries < kMaxRetries && !mPlan.mIsolated;
+  const auto limit = mPlan.mIdempotent ? kMaxRetries : kMaxRetriesOnce;
+  return aState.mMayRetry && aState.mRetries < limit && !mPlan.mIsolated;
 }
 
 bool
@@ -466,6 +524,10 @@
     if (MayHedge(state)) {
       Earlier(next, *state.mHedgeAt);
     }
+    const bool waits = !state.mCovered && state.mOpen.empty() && state.mRoundAt;
+    if (waits && MayStillAnswer(state)) {
+      Earlier(next, *state.mRoundAt);
+    }
   }
   if (idle && !mRecheckAt && !(open && mPlan.mIsolated)) {
     mRecheckAt = aNow + kRecheck;
--- /dev/null
+++ b/src/wasabispar/query/retry_rounds_test.cpp
@@ -0,0 +1,162 @@
+/// @file
+/// @brief Tests of the further rounds over the replicas of a shard.
+#include "wasabispar/query/query.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace wasabispar;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// One shard with two replicas; each sub-request fails after 1 ms for a while, then
+/// answers.
+struct Run
+{
+  QueryPlan mPlan;
+  ExchangeStatus mFailure = ExchangeStatus::ConnectionLost;
+  std::uint32_t mFailures = 2;
+  std::uint32_t mTokens = 0;
+  bool mForced = true;
+  std::vector<SendSub> mSends;
+  std::vector<TimePoint> mTimes;
+  std::optional<Answer> mAnswer;
+  TimePoint mNow{ 1s };
+  std::optional<TimePoint> mTimer;
+  std::optional<TimePoint> mReplyAt;
+
+  Run()
+  {
+    mPlan.mSnapshot = { IndexName("idx"), SnapshotVersion(1), { ShardId("s") }, {} };
+    mPlan.mPolicy = PartialPolicy::WaitForCoverage;
+    mPlan.mTarget = mNow + 500ms;
+    mPlan.mDeadline = mNow + 1s;
+  }
+  void Apply(const std::vector<QueryAction>& aActions)
+  {
+    for (const auto& action : aActions) {
+      if (const auto* send = std::get_if<SendSub>(&action)) {
+        mSends.push_back(*send);
+        mTimes.push_back(mNow);
+        mReplyAt = mNow + 1ms;
+      } else if (const auto* arm = std::get_if<ArmTimer>(&action)) {
+        mTimer = arm->mAt;
+      } else if (const auto* finish = std::get_if<Finish>(&action)) {
+        mAnswer = finish->mAnswer;
+      }
+    }
+  }
+  void Execute()
+  {
+    auto hooks = DefaultQueryHooks();
+    hooks.mTakeBudget = [this](ExtraLoad, TimePoint) {
+      return mTokens > 0 && mTokens-- > 0;
+    };
+    hooks.mTakeForced = [this](TimePoint) { return mForced; };
+    hooks.mChooseReplica = [](const ReplicaRequest& aRequest, TimePoint) {
+      ReplicaChoice choice;
+      for (const auto* id : { "u2", "u1" }) {
+        if (std::ranges::find(aRequest.mTried, UpstreamId(id)) == aRequest.mTried.end()) {
+          choice.mUpstream = UpstreamId(id);
+        }
+      }
+      return choice;
+    };
+    Query query(mPlan, hooks);
+    Apply(query.Start(mNow));
+    while (!mAnswer) {
+      if (mReplyAt && (!mTimer || *mReplyAt <= *mTimer)) {
+        mNow = *mReplyAt;
+        mReplyAt.reset();
+        const auto& send = mSends.back();
+        const bool fails = mSends.size() <= mFailures;
+        const SubReply reply{
+          send.mSub, fails ? mFailure : ExchangeStatus::Ok, send.mVersion, send.mShard, {}
+        };
+        Apply(query.OnReply(reply, mNow));
+      } else {
+        REQUIRE(mTimer);
+        mNow = *mTimer;
+        mTimer.reset();
+        Apply(query.OnTimer(mNow));
+      }
+    }
+  }
+};
+
+} // namespace
+
+TEST_CASE("a shard whose replicas all failed once is tried on them again")
+{
+  // Guards against answers that stay incomplete after one transient failure of each
+  // replica.
+  for (const auto failure :
+       { ExchangeStatus::ConnectionLost, ExchangeStatus::ConnectFailed }) {
+    Run run;
+    run.mFailure = failure;
+    run.mFailures = 4;
+    run.Execute();
+    CHECK(run.mAnswer->mCoverage.IsComplete());
+    REQUIRE(run.mSends.size() == 5);
+    // Guards against a retry without a pause, and against a pause that does not grow.
+    CHECK(run.mTimes[2] - run.mTimes[1] >= 3500us);
+    CHECK(run.mTimes[4] - run.mTimes[3] >= 6ms);
+    CHECK(run.mTimes[4] - run.mTimes[0] <= 40ms);
+  }
+}
+
+TEST_CASE("a replica that always fails gets a bounded number of tries")
+{
+  // Guards against endless rounds.
+  Run run;
+  run.mFailures = 1000;
+  run.Execute();
+  CHECK(run.mSends.size() == 7);
+  CHECK(run.mAnswer->mRefusal);
+}
+
+TEST_CASE("further rounds under answer-at-target need a token")
+{
+  // Guards against extra load without limit where a partial answer is accepted.
+  for (const std::uint32_t tokens : { 0U, 2U }) {
+    Run run;
+    run.mPlan.mPolicy = PartialPolicy::AnswerAtTarget;
+    run.mTokens = tokens;
+    run.Execute();
+    CHECK(run.mAnswer->mCoverage.IsComplete() == (tokens == 2));
+    CHECK(run.mSends.size() == (tokens == 2 ? 3 : 2));
+  }
+}
+
+TEST_CASE("a shed reply leads to no further try without a token")
+{
+  // Guards against a retry storm under overload.
+  Run run;
+  run.mFailure = ExchangeStatus::Shed;
+  run.mFailures = 1000;
+  run.Execute();
+  CHECK(run.mSends.size() == 1);
+}
+
+TEST_CASE("no replica is tried twice for plans and failures that forbid it")
+{
+  // Guards against a second execution of a plan that is not idempotent, a second crash by
+  // an isolated one, and new work for a replica that drains or no longer holds the shard.
+  const auto sends = [](bool aIdempotent, bool aIsolated, ExchangeStatus aFailure) {
+    Run run;
+    run.mPlan.mIdempotent = aIdempotent;
+    run.mPlan.mIsolated = aIsolated;
+    run.mFailure = aFailure;
+    run.mFailures = 1000;
+    run.mTokens = 100;
+    run.Execute();
+    return run.mSends.size();
+  };
+  CHECK(sends(false, false, ExchangeStatus::ConnectFailed) == 2);
+  CHECK(sends(false, false, ExchangeStatus::ConnectionLost) == 1);
+  CHECK(sends(true, true, ExchangeStatus::ConnectionLost) == 1);
+  CHECK(sends(true, false, ExchangeStatus::Draining) == 2);
+  CHECK(sends(true, false, ExchangeStatus::ShardGone) == 2);
+}
