--- a/src/wasabispar/net/fleet_transport.cpp
+++ b/src/wasabispar/net/fleet_transport.cpp
@@ -161,6 +161,9 @@
         mOwner.Report(std::move(item.mOnSent), false);
       }
       if (message) {
+        // The last callback may not have returned; overlapping ones made nng_close()
+        // hang.
+        nng_aio_wait(mAio);
         nng_aio_set_msg(mAio, message);
         nng_send_aio(mSocket, mAio);
       }
@@ -392,6 +395,7 @@
       }
       mIsReceiving = true;
     }
+    nng_aio_wait(mReceive);
     nng_recv_aio(mPull, mReceive);
   }
 
