Read the control bytes of the whole-path bench from the exported counter

The bench asked for wasabispar_fleet_sent_bytes_total, which no daemon exports, so the column was 0 in every run. It now reads wasabispar_fleet_bytes_out.

--- a/bench/tier_run.cpp
+++ b/bench/tier_run.cpp
@@ -15,7 +15,7 @@
 
 constexpr const char* kProfile = "measure";
 constexpr auto kReadyTimeout = std::chrono::seconds(30);
-constexpr const char* kControlBytesMetric = "wasabispar_fleet_sent_bytes_total";
+constexpr const char* kControlBytesMetric = "wasabispar_fleet_bytes_out";
 
 /// The counters that a run takes the difference of.
 struct Counters
