--- a/src/wasabispar/app/query_service.cpp
+++ b/src/wasabispar/app/query_service.cpp
@@ -33,14 +33,6 @@
   return aResult.mAnswer->mPartial ? "partial" : "complete";
 }
 
-/// Choices that a query made at one instant.
-struct ChoicesAtOnce
-{
-  TimePoint mAt;
-  std::map<UpstreamId, std::uint32_t> mCounts;
-  RandomFn mRandom;
-};
-
 } // namespace
 
 /// A running search. Used on mWorker only, after admission.
@@ -216,30 +208,6 @@
     MakeQueryHooks(mUpstreams.Table(), mUpstreams.Directory(), *aRunning->mBudget,
                    SeededRandom(aRunning->mRequest.mCounter),
                    Permille(aRunning->mProfile->mHedgePercentile * 10));
-  const auto choices = std::make_shared<ChoicesAtOnce>();
-  choices->mRandom = SeededRandom(aRunning->mRequest.mCounter);
-  // A query chooses the replicas of all its shards before the first exchange starts.
-  // The table does not count these choices yet, and without them all shards go to the
-  // faster half of the upstreams, where they queue.
-  hooks.mChooseReplica = [this, choices](const ReplicaRequest& aRequest, TimePoint aNow) {
-    if (std::exchange(choices->mAt, aNow) != aNow) {
-      choices->mCounts.clear();
-    }
-    std::vector<UpstreamView> holders;
-    for (const auto& id : mUpstreams.Directory().Holders(
-           aRequest.mIndex, aRequest.mVersion, aRequest.mShard, aNow)) {
-      if (auto view = mUpstreams.Table().Find(id, aNow)) {
-        const auto own = choices->mCounts.find(id);
-        view->mInFlight += own == choices->mCounts.end() ? 0 : own->second;
-        holders.push_back(std::move(*view));
-      }
-    }
-    auto choice = ChooseReplica(holders, aRequest, choices->mRandom);
-    if (choice.mUpstream) {
-      ++choices->mCounts[*choice.mUpstream];
-    }
-    return choice;
-  };
   hooks.mTakeBudget = [this, name = aRunning->mInput.mProfile,
                        budget = aRunning->mBudget](ExtraLoad aKind, TimePoint aNow) {
     // Hedges of a retired profile stop at once.
