Arm no timer in the past while a retry waits for a token

The pause before a further round stayed set when an untried replica became usable but no token was left; the timer was then armed in the past again and again. The oracle now requires each timer to be in the future; on the code of before it fails.

--- a/src/wasabispar/query/query.cpp
+++ b/src/wasabispar/query/query.cpp
@@ -244,6 +244,8 @@
   auto choice = Choose(aShard, aState, false, aNow);
   const bool again = mPlan.mIdempotent && aState.mTried.size() > aState.mUnusable.size();
   if (choice.mUpstream || !again) {
+    // A pause that is kept here would end in the past and arm the timer without end.
+    aState.mRoundAt.reset();
     return choice;
   }
   if (!aState.mRoundAt) {
--- a/src/wasabispar/query/query_test.cpp
+++ b/src/wasabispar/query/query_test.cpp
@@ -261,6 +261,9 @@
       } else if (const auto* cancel = std::get_if<CancelSub>(&action)) {
         RC_ASSERT(mSent.at(cancel->mSub).mOpen);
         mSent.at(cancel->mSub).mOpen = false;
+      } else if (const auto* arm = std::get_if<ArmTimer>(&action)) {
+        // A timer that is not in the future keeps the worker busy without end.
+        RC_ASSERT(arm->mAt > aNow);
       } else if (const auto* finish = std::get_if<Finish>(&action)) {
         RC_ASSERT(mAnswers.empty());
         Repin(finish->mAnswer.mVersion, aOffered);
