--- a/src/wasabispar/query/query.cpp
+++ b/src/wasabispar/query/query.cpp
@@ -31,11 +31,12 @@
   return text;
 }
 
-/// Whether the same replica may succeed a moment later.
+/// Whether the same replica is tried again in a further round. Not after a shed reply:
+/// that lowered the coverage under overload; see docs/decisions/retry-rounds.md.
 bool
 IsTransient(ExchangeStatus aStatus)
 {
-  return aStatus == ExchangeStatus::Shed || aStatus == ExchangeStatus::ConnectFailed ||
+  return aStatus == ExchangeStatus::ConnectFailed ||
          aStatus == ExchangeStatus::ConnectionLost;
 }
 
@@ -255,6 +256,8 @@
   auto choice = Choose(aShard, aState, false, aNow);
   const bool again = mPlan.mIdempotent && aState.mTried.size() > aState.mUnusable.size();
   if (choice.mUpstream || !again) {
+    // A pause that is kept here would end in the past and arm the timer without end.
+    aState.mRoundAt.reset();
     return choice;
   }
   if (!aState.mRoundAt) {
