--- a/bench/tier_run.cpp
+++ b/bench/tier_run.cpp
@@ -15,10 +15,7 @@
 
 constexpr const char* kProfile = "measure";
 constexpr auto kReadyTimeout = std::chrono::seconds(30);
-<<<<<<< HEAD
 constexpr auto kWarmUp = std::chrono::seconds(1);
-=======
->>>>>>> path
 constexpr const char* kControlBytesMetric = "wasabispar_fleet_bytes_out";
 
 /// The counters that a run takes the difference of.
