--- a/src/wasabispar/app/upstream_service.cpp
+++ b/src/wasabispar/app/upstream_service.cpp
@@ -14,9 +14,6 @@
 
 /// Pools and exchange watches are served this often.
 constexpr Duration kServicePeriod = std::chrono::milliseconds(25);
-/// Exchanges in flight over the declared slots, of all owners together. The searchers of
-/// an instance are not equally busy, so one exchange for each slot would leave some idle.
-constexpr std::uint32_t kSlotOvercommit = 2;
 constexpr Duration kStateTimeout = std::chrono::seconds(1);
 /// Longer than the lag of the platform's list.
 constexpr Duration kLeavingTtl = std::chrono::minutes(10);
@@ -209,7 +206,10 @@
   hooks.mSurplus = [this, aUpstream] {
     return mBudget.Surplus(aUpstream, mContext.mNow());
   };
-  hooks.mSlotLimit = [this, aUpstream] { return SlotLimit(aUpstream); };
+  hooks.mSlotLimit = [this, aUpstream]() -> std::uint32_t {
+    const auto view = mTable.Find(aUpstream, mContext.mNow());
+    return view ? view->mSlotLimit : 1;
+  };
   hooks.mOnConnected = [this, aUpstream] { mCrashes.OnConnected(aUpstream); };
   hooks.mOnConnectFailed = [this, aUpstream] {
     const auto now = mContext.mNow();
@@ -221,32 +221,6 @@
   return hooks;
 }
 
-/// The adaptive limit, but not more than this VM's part of the slots that the upstream
-/// declares. Above it requests would queue at the upstream, first come first served, and
-/// not in the pool, which is fair to callers.
-std::uint32_t
-UpstreamService::SlotLimit(const UpstreamId& aUpstream) const
-{
-  const auto now = mContext.mNow();
-  const auto view = mTable.Find(aUpstream, now);
-  if (!view) {
-    return 1;
-  }
-  std::uint32_t declared = 0;
-  {
-    std::lock_guard lock(mMutex);
-    const auto listed = mListed.find(aUpstream);
-    declared = listed == mListed.end() ? 0 : listed->second.mDeclaredSlots;
-  }
-  const auto owners = static_cast<std::uint32_t>(
-    std::max<std::size_t>(1, mBudget.LiveOwners(aUpstream, now).size()));
-  if (declared == 0) {
-    return view->mSlotLimit;
-  }
-  const auto share = (declared * kSlotOvercommit + owners - 1) / owners;
-  return std::max<std::uint32_t>(1, std::min(view->mSlotLimit, share));
-}
-
 void
 UpstreamService::AddPool(const PlatformUpstream& aUpstream)
 {
@@ -577,7 +551,6 @@
   if (const auto listed = mListed.find(aUpstream); listed != mListed.end()) {
     listed->second.mIsPolled = true;
     listed->second.mReport = aBody;
-    listed->second.mDeclaredSlots = report->mSlots;
   }
 }
 
