Spread forwarded searches over all live owners

Cause: a VM without connections forwarded to the best owner only, so at full size one of 21 connections would carry the work of 346 of 367 VMs (docs/CAPACITY.md, row 4). Change: the owner is chosen by the number of the exchange.

--- a/include/wasabispar/app/execution_service.hpp
+++ b/include/wasabispar/app/execution_service.hpp
@@ -74,7 +74,7 @@
 
   GateResult Check(const ProfileName& aProfile, const CallerId& aCaller);
   Duration DeadlineOf(const ExecutionInput& aInput) const;
-  DoneFn AnswerOnce(const std::shared_ptr<Running>& aRunning, DoneFn aDone);
+  DoneFn AnswerOnce(DoneFn aDone);
   void Route(const std::shared_ptr<Running>& aRunning);
   void Forward(const std::shared_ptr<Running>& aRunning, const TicketIssuer& aIssuer);
   void Admit(const std::shared_ptr<Running>& aRunning);
--- a/src/wasabispar/app/execution_service.cpp
+++ b/src/wasabispar/app/execution_service.cpp
@@ -162,7 +162,7 @@
 /// The first answer counts: a duplicate that waits is answered by the execution or by
 /// its own deadline.
 ExecutionService::DoneFn
-ExecutionService::AnswerOnce(const std::shared_ptr<Running>&, DoneFn aDone)
+ExecutionService::AnswerOnce(DoneFn aDone)
 {
   auto isAnswered = std::make_shared<std::atomic<bool>>(false);
   return [this, isAnswered, done = std::move(aDone)](ExecutionAnswer aAnswer) {
@@ -183,7 +183,7 @@
 {
   auto running = std::make_shared<Running>();
   running->mInput = std::move(aInput);
-  running->mDone = AnswerOnce(running, std::move(aDone));
+  running->mDone = AnswerOnce(std::move(aDone));
   running->mDeadline = mContext.mNow() + DeadlineOf(running->mInput);
   running->mFingerprint = Fingerprint(running->mInput.mProfile, running->mInput.mBody);
   running->mRequestId = RequestId{ mContext.mIncarnation, mContext.NextNumber() }.Text();
@@ -210,10 +210,8 @@
       return;
     case RouteAction::Wait:
       aRunning->mWaitTimer = mContext.mWorkers.At(0).Timers().After(
-        aRunning->mDeadline - now, [running = aRunning] {
-          ExecutionAnswer answer;
-          answer.mEnd = EndCondition::WaitTimedOut;
-          running->mDone(std::move(answer));
+        aRunning->mDeadline - now, [this, running = aRunning] {
+          running->mDone(mRouter.EndWait());
           // Moved out, so that the timer does not keep its own object alive.
           const auto timer = std::move(running->mWaitTimer);
         });
--- a/src/wasabispar/app/upstream_service.cpp
+++ b/src/wasabispar/app/upstream_service.cpp
@@ -261,15 +261,15 @@
     reply(DecodeSearch(aResult, requestId));
   };
   if (mBudget.Allowed(aSearch.mUpstream, now) == 0) {
-    const auto owners = mBudget.LiveOwners(aSearch.mUpstream, now);
-    const auto owner = std::find_if(owners.begin(), owners.end(), [&](const VmId& aVm) {
-      return aVm != mContext.mSettings.mVm;
-    });
-    if (owner == owners.end()) {
+    auto owners = mBudget.LiveOwners(aSearch.mUpstream, now);
+    std::erase(owners, mContext.mSettings.mVm);
+    if (owners.empty()) {
       done({ HttpExchangeEnd::ConnectFailed, {}, "no VM holds connections" });
       return;
     }
-    mHooks.mForward(aHandle, *owner, aSearch, std::move(done));
+    // Spread over all owners, so that none carries the work of all VMs without a share.
+    const auto& owner = owners[aHandle % owners.size()];
+    mHooks.mForward(aHandle, owner, aSearch, std::move(done));
     return;
   }
   SearchForPeer(aHandle, std::move(aSearch), std::move(done));
