--- a/bench/whole_path.cpp
+++ b/bench/whole_path.cpp
@@ -25,6 +25,7 @@
   double mSeconds = 4;
   double mQueriesPerSecond = 0;
   std::uint64_t mSeed = 20261204;
+  std::size_t mVms = 3;
 };
 
 constexpr double kQuickSeconds = 2;
@@ -43,6 +44,7 @@
   add("seconds", options::value(&aArguments.mSeconds), "length of a scenario");
   add("rate", options::value(&aArguments.mQueriesPerSecond), "queries per second");
   add("seed", options::value(&aArguments.mSeed), "seed of the arrivals");
+  add("vms", options::value(&aArguments.mVms), "number of VMs");
   options::variables_map values;
   try {
     options::store(options::parse_command_line(aArgc, aArgv, flags), values);
@@ -113,6 +115,7 @@
     spec.mGroup = aGroup;
     spec.mScenario = aScenario;
     spec.mSeed = aArguments.mSeed;
+    spec.mVms = aArguments.mVms;
     spec.mLength =
       std::chrono::milliseconds(static_cast<std::int64_t>(aArguments.mSeconds * 1000));
     const auto result = RunTier(spec);
