--- a/include/wasabispar/app/upstream_service.hpp
+++ b/include/wasabispar/app/upstream_service.hpp
@@ -124,8 +124,6 @@
     PlatformUpstream mDeclaration;
     std::size_t mLane = 0;
     bool mIsPolled = false;
-    /// Searcher slots of the newest report; 0 when it states none.
-    std::uint32_t mDeclaredSlots = 0;
     std::string mReport;
   };
 
@@ -143,7 +141,6 @@
 
   Lane& LaneOf(const UpstreamId& aUpstream) const;
   void PostTo(const UpstreamId& aUpstream, std::function<void(Lane&)> aFn);
-  std::uint32_t SlotLimit(const UpstreamId& aUpstream) const;
   void AddPool(const PlatformUpstream& aUpstream);
   void RemovePool(const UpstreamId& aUpstream);
   ConnectionPoolHooks PoolHooks(const UpstreamId& aUpstream);
--- a/src/wasabispar/app/upstream_service.cpp
+++ b/src/wasabispar/app/upstream_service.cpp
@@ -206,7 +206,10 @@
   hooks.mSurplus = [this, aUpstream] {
     return mBudget.Surplus(aUpstream, mContext.mNow());
   };
-  hooks.mSlotLimit = [this, aUpstream] { return SlotLimit(aUpstream); };
+  hooks.mSlotLimit = [this, aUpstream]() -> std::uint32_t {
+    const auto view = mTable.Find(aUpstream, mContext.mNow());
+    return view ? view->mSlotLimit : 1;
+  };
   hooks.mOnConnected = [this, aUpstream] { mCrashes.OnConnected(aUpstream); };
   hooks.mOnConnectFailed = [this, aUpstream] {
     const auto now = mContext.mNow();
@@ -218,27 +221,6 @@
   return hooks;
 }
 
-/// The adaptive limit, but at least this VM's part of the slots that the upstream
-/// declares: while no owner exceeds its part, a lower limit only leaves slots idle.
-std::uint32_t
-UpstreamService::SlotLimit(const UpstreamId& aUpstream) const
-{
-  const auto now = mContext.mNow();
-  const auto view = mTable.Find(aUpstream, now);
-  if (!view) {
-    return 1;
-  }
-  const auto owners = static_cast<std::uint32_t>(
-    std::max<std::size_t>(1, mBudget.LiveOwners(aUpstream, now).size()));
-  std::uint32_t declared = 0;
-  {
-    std::lock_guard lock(mMutex);
-    const auto listed = mListed.find(aUpstream);
-    declared = listed == mListed.end() ? 0 : listed->second.mDeclaredSlots;
-  }
-  return std::max(view->mSlotLimit, (declared + owners - 1) / owners);
-}
-
 void
 UpstreamService::AddPool(const PlatformUpstream& aUpstream)
 {
@@ -569,7 +551,6 @@
   if (const auto listed = mListed.find(aUpstream); listed != mListed.end()) {
     listed->second.mIsPolled = true;
     listed->second.mReport = aBody;
-    listed->second.mDeclaredSlots = report->mSlots;
   }
 }
 
