--- a/cmake/WasabisparLayer.cmake
+++ b/cmake/WasabisparLayer.cmake
@@ -45,6 +45,6 @@
     endif()
     # One fixed rapidcheck seed, so that each run gives the same verdict.
     set_tests_properties(${CTEST_NAMES} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261204"
-                         LABELS unit TIMEOUT 300)
+                         LABELS unit TIMEOUT 600)
   endif()
 endfunction()
