--- a/include/wasabispar/base/log.hpp
+++ b/include/wasabispar/base/log.hpp
@@ -23,6 +23,13 @@
   Json,
 };
 
+enum class LogTarget
+{
+  StandardError,
+  /// Without ever blocking: lines that do not fit into a full pipe are dropped and counted.
+  StandardOutput,
+};
+
 /// @brief One field of a log event.
 struct LogField
 {
@@ -41,9 +48,14 @@
   }
 };
 
-/// @brief Sends events of @p aLevel and above to standard error.
+/// @brief Sends events of @p aLevel and above to @p aTarget.
 void
-ConfigureLog(LogLevel aLevel, LogFormat aFormat);
+ConfigureLog(LogLevel aLevel, LogFormat aFormat,
+             LogTarget aTarget = LogTarget::StandardError);
+
+/// @brief Lines that were dropped because standard output could not take them.
+std::uint64_t
+DroppedLogLines();
 
 /// @brief Writes one event. Never call it with a lock held.
 void
--- a/include/wasabispar/net/connection_pool.hpp
+++ b/include/wasabispar/net/connection_pool.hpp
@@ -29,6 +29,8 @@
   std::function<bool(TimePoint)> mMayStillSend;
   /// Called once right before the exchange starts on a connection. May be empty.
   std::function<void(std::uint64_t aConnection)> mOnStarted;
+  /// Whether the connection may carry another exchange after this response. May be empty.
+  std::function<bool(const HttpResponse&)> mMayReuse;
   /// Called once with the end, and whether a byte may have left.
   std::function<void(HttpExchangeResult, bool aMayHaveLeft)> mDone;
 };
@@ -93,6 +95,9 @@
   void Cancel(Handle aHandle);
   /// @brief Closes the connection of a running request, which ends as ConnectionLost.
   void CloseConnectionOf(Handle aHandle);
+  /// @brief Ends a request at once: a queued one is taken out, a running one loses its
+  /// connection. mDone is called as for Cancel() or CloseConnectionOf().
+  void Abort(Handle aHandle);
   /// @brief Closes surplus connections, opens warm ones, drops expired requests. Call it
   /// each 50 to 100 ms.
   void Tick();
@@ -108,6 +113,7 @@
     std::uint64_t mConnectionId = 0;
     /// Empty after Cancel().
     std::function<void(HttpExchangeResult, bool)> mDone;
+    std::function<bool(const HttpResponse&)> mMayReuse;
     /// Set by CloseConnectionOf().
     bool mClosedAsDead = false;
   };
@@ -139,6 +145,7 @@
 
   void Pump();
   void Enqueue(Handle aHandle, PooledRequest aRequest);
+  bool HasOpenIdle();
   bool StartNext();
   void Start(Idle aIdle, Queued aQueued);
   void OnExchangeEnd(Handle aHandle, HttpExchangeResult aResult);
--- a/include/wasabispar/net/http_server.hpp
+++ b/include/wasabispar/net/http_server.hpp
@@ -61,6 +61,9 @@
   /// @brief Binds and starts to accept. Fails with Step::Settings and the address as
   /// peer when the address cannot be bound.
   Result<void> Start();
+  /// @brief Replaces the limits of @p aLimits on size and time for requests that begin
+  /// from now on; address, port and number of connections stay.
+  void SetLimits(const HttpServerOptions& aLimits);
   /// @brief The bound port; 0 before Start().
   std::uint16_t Port() const;
   /// @brief From now on each response closes its connection, so that clients reconnect
--- a/include/wasabispar/net/http_types.hpp
+++ b/include/wasabispar/net/http_types.hpp
@@ -3,6 +3,8 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -16,6 +18,23 @@
   std::string mValue;
 };
 
+/// @brief Tells the handler of a received request that its caller closed the connection
+/// before the response. Used on the worker of the connection only.
+class AbandonNotice
+{
+public:
+  /// @brief Calls @p aFn when the caller leaves, at once if it has left. Replaces an
+  /// earlier function; an empty one ends the subscription.
+  void Subscribe(std::function<void()> aFn);
+  /// @brief The caller has left.
+  void Notify();
+  bool IsAbandoned() const { return mIsAbandoned; }
+
+private:
+  std::function<void()> mFn;
+  bool mIsAbandoned = false;
+};
+
 /// @brief A request, received or to be sent.
 struct HttpRequest
 {
@@ -25,8 +44,13 @@
   std::string mTarget = "/";
   std::vector<HttpHeader> mHeaders;
   std::string mBody;
+  /// Content-Type of a request to be sent with a body; empty adds none. A received
+  /// request has it in mHeaders.
+  std::string mContentType = "application/json";
   /// Address of the other side as `ip:port`; set on received requests only.
   std::string mPeer;
+  /// Set on received requests only.
+  std::shared_ptr<AbandonNotice> mAbandon;
 
   /// @brief The path of mTarget without the query string.
   std::string_view Path() const;
@@ -40,6 +64,8 @@
 struct HttpResponse
 {
   unsigned mStatus = 200;
+  /// Content-Type of a response to be sent; empty adds none. A received response has it
+  /// in mHeaders.
   std::string mContentType = "application/json";
   std::vector<HttpHeader> mHeaders;
   std::string mBody;
--- a/src/wasabispar/base/log.cpp
+++ b/src/wasabispar/base/log.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/json/serialize.hpp>
 #include <boost/json/string.hpp>
+#include <log4cxx/appenderskeleton.h>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
@@ -12,11 +13,49 @@
 #include <algorithm>
 #include <atomic>
 
+#include <climits>
+#include <poll.h>
+#include <unistd.h>
+
 namespace wasabispar {
 
 namespace {
 
 std::atomic<LogFormat> gFormat{ LogFormat::KeyValue };
+std::atomic<std::uint64_t> gDropped{ 0 };
+
+/// Writes whole lines to standard output while it can take them at once. A line of at
+/// most PIPE_BUF bytes is never split when poll() says that a pipe is writable.
+class StandardOutputAppender final : public log4cxx::AppenderSkeleton
+{
+public:
+  explicit StandardOutputAppender(const log4cxx::LayoutPtr& aLayout)
+    : log4cxx::AppenderSkeleton(aLayout)
+    , mLayout(aLayout)
+  {
+  }
+  // The names that log4cxx prescribes.
+  void close() override {}                              // NOLINT
+  bool requiresLayout() const override { return true; } // NOLINT
+
+protected:
+  void append(const log4cxx::spi::LoggingEventPtr& aEvent, // NOLINT
+              log4cxx::helpers::Pool& aPool) override
+  {
+    log4cxx::LogString text;
+    mLayout->format(text, aEvent, aPool);
+    pollfd output{ STDOUT_FILENO, POLLOUT, 0 };
+    const bool isWritable = ::poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+    const auto size = std::min<std::size_t>(text.size(), PIPE_BUF);
+    if (!isWritable || ::write(STDOUT_FILENO, text.data(), size) < 0) {
+      ++gDropped;
+    }
+  }
+
+private:
+  /// The base class in this library version returns no layout from here.
+  log4cxx::LayoutPtr mLayout;
+};
 
 log4cxx::LoggerPtr
 Logger()
@@ -78,20 +117,31 @@
 }
 
 void
-ConfigureLog(LogLevel aLevel, LogFormat aFormat)
+ConfigureLog(LogLevel aLevel, LogFormat aFormat, LogTarget aTarget)
 {
   gFormat = aFormat;
   const log4cxx::LayoutPtr layout(new log4cxx::PatternLayout(
     aFormat == LogFormat::Json
       ? "{\"time\":\"%d{yyyy-MM-ddTHH:mm:ss.SSS}\",\"level\":\"%p\",%m%n"
       : "%d{yyyy-MM-ddTHH:mm:ss.SSS} %p %m%n"));
-  const log4cxx::AppenderPtr appender(
-    new log4cxx::ConsoleAppender(layout, log4cxx::ConsoleAppender::getSystemErr()));
+  log4cxx::AppenderPtr appender;
+  if (aTarget == LogTarget::StandardOutput) {
+    appender = std::make_shared<StandardOutputAppender>(layout);
+  } else {
+    appender = std::make_shared<log4cxx::ConsoleAppender>(
+      layout, log4cxx::ConsoleAppender::getSystemErr());
+  }
   log4cxx::BasicConfigurator::resetConfiguration();
   log4cxx::BasicConfigurator::configure(appender);
   Logger()->setLevel(ToLevel(aLevel));
 }
 
+std::uint64_t
+DroppedLogLines()
+{
+  return gDropped;
+}
+
 void
 LogEvent(LogLevel aLevel, std::string_view aEvent,
          std::initializer_list<LogField> aFields)
--- /dev/null
+++ b/src/wasabispar/gateway/gateway.cpp
@@ -0,0 +1,252 @@
+/// @file
+/// @brief Gateway: routing, pools and the table of running requests.
+#include "wasabispar/gateway/gateway.hpp"
+
+#include "request_run.hpp"
+#include "wasabispar/base/log.hpp"
+
+namespace wasabispar {
+
+namespace {
+
+/// Period in which pools open warm connections and drop closed ones.
+constexpr Duration kTickPeriod = std::chrono::milliseconds(250);
+
+constexpr auto kSendHelp = "Requests sent to upstreams, by purpose.";
+constexpr auto kDeniedHelp = "Extra sends that the budget for extra load denied.";
+constexpr auto kLatencyHelp = "Time from a request to its final answer, by route kind.";
+
+std::string_view
+KindText(UpstreamChange::Kind aKind)
+{
+  switch (aKind) {
+    case UpstreamChange::Kind::Added:
+      return "added";
+    case UpstreamChange::Kind::Updated:
+      return "updated";
+    case UpstreamChange::Kind::Replaced:
+      return "replaced";
+    case UpstreamChange::Kind::Draining:
+      return "draining";
+    case UpstreamChange::Kind::Removed:
+      break;
+  }
+  return "removed";
+}
+
+} // namespace
+
+std::string_view
+ToText(RefusalReason aReason)
+{
+  switch (aReason) {
+    case RefusalReason::NoRoute:
+      return "no-route";
+    case RefusalReason::BadRequest:
+      return "bad-request";
+    case RefusalReason::NotConfigured:
+      return "not-configured";
+    case RefusalReason::Unavailable:
+      return "unavailable";
+    case RefusalReason::Lost:
+      return "lost";
+    case RefusalReason::Timeout:
+      break;
+  }
+  return "timeout";
+}
+
+GatewayMetrics::GatewayMetrics(Metrics& aMetrics)
+  : mMetrics(aMetrics)
+  , mSentFirst(aMetrics.Counter("wasabispar_gateway_sends_total", kSendHelp,
+                                { { "purpose", "first" } }))
+  , mSentHedge(aMetrics.Counter("wasabispar_gateway_sends_total", kSendHelp,
+                                { { "purpose", "hedge" } }))
+  , mSentRetry(aMetrics.Counter("wasabispar_gateway_sends_total", kSendHelp,
+                                { { "purpose", "retry" } }))
+  , mHedgesDenied(aMetrics.Counter("wasabispar_gateway_extra_sends_denied_total",
+                                   kDeniedHelp, { { "purpose", "hedge" } }))
+  , mRetriesDenied(aMetrics.Counter("wasabispar_gateway_extra_sends_denied_total",
+                                    kDeniedHelp, { { "purpose", "retry" } }))
+  , mUpstreamLatency(aMetrics.Latency("wasabispar_gateway_upstream_seconds",
+                                      "Time from a send to the upstream's response."))
+  , mSingleLatency(aMetrics.Latency("wasabispar_gateway_request_seconds", kLatencyHelp,
+                                    { { "kind", "single" } }))
+  , mFanOutLatency(aMetrics.Latency("wasabispar_gateway_request_seconds", kLatencyHelp,
+                                    { { "kind", "fan-out" } }))
+  , mMissingParts(aMetrics.Counter("wasabispar_gateway_missing_parts_total",
+                                   "Parts left out of merged answers."))
+  , mTraceLinesDropped(aMetrics.Counter("wasabispar_gateway_trace_lines_dropped_total",
+                                        "Log lines above the bound on their rate."))
+{
+}
+
+void
+GatewayMetrics::CountRequest(std::string_view aOutcome)
+{
+  mMetrics
+    .Counter("wasabispar_gateway_requests_total", "Requests, by how they ended.",
+             { { "outcome", std::string(aOutcome) } })
+    .Increment();
+}
+
+void
+GatewayMetrics::CountReply(TraceStep aStep)
+{
+  mMetrics
+    .Counter("wasabispar_gateway_exchanges_total", "Exchanges, by how they ended.",
+             { { "end", std::string(ToText(aStep)) } })
+    .Increment();
+}
+
+Gateway::Gateway(Worker& aWorker, GatewayOptions aOptions, CallerProtocol aCallers,
+                 UpstreamProtocol aUpstreams, Metrics& aMetrics)
+  : mWorker(aWorker)
+  , mOptions(std::move(aOptions))
+  , mCallers(std::move(aCallers))
+  , mUpstreams(std::move(aUpstreams))
+  , mMetrics(aMetrics)
+{
+  mTick = mWorker.Timers().Every(kTickPeriod, [this] {
+    for (const auto& [name, pool] : mPools) {
+      pool->Tick();
+    }
+  });
+}
+
+Gateway::~Gateway() = default;
+
+void
+Gateway::Handle(HttpRequest aRequest, HttpRespondFn aRespond)
+{
+  const auto now = BootClock::now();
+  auto request = mCallers.mDecode(std::move(aRequest));
+  if (!request) {
+    Refuse(nullptr, RefusalReason::BadRequest, aRespond);
+    return;
+  }
+  if (!mRoutes) {
+    Refuse(&*request, RefusalReason::NotConfigured, aRespond);
+    return;
+  }
+  const auto* route = mRoutes->Find(request->mHost, request->mMessage.Path());
+  if (!route) {
+    Refuse(&*request, RefusalReason::NoRoute, aRespond);
+    return;
+  }
+  const auto abandon = request->mMessage.mAbandon;
+  const auto run =
+    std::make_shared<RequestRun>(*this, std::move(*request), mRoutes, *route,
+                                 ServicesOf(*route), std::move(aRespond), now);
+  mRuns.insert(run);
+  if (abandon) {
+    abandon->Subscribe([weak = std::weak_ptr<RequestRun>(run)] {
+      if (const auto self = weak.lock()) {
+        self->OnCallerGone();
+      }
+    });
+  }
+  run->Start();
+}
+
+void
+Gateway::Refuse(const CallerRequest* aRequest, RefusalReason aReason,
+                const HttpRespondFn& aRespond)
+{
+  const auto outcome = ToText(aReason);
+  mMetrics.CountRequest(outcome);
+  LogEvent(LogLevel::Info, "request-end",
+           { { "request", aRequest ? aRequest->mId.Text() : "" },
+             { "host", aRequest ? aRequest->mHost : "" },
+             { "config_version", mRoutes ? mRoutes->Version().Value() : 0 },
+             { "outcome", outcome } });
+  Refusal refusal{ aReason, {} };
+  if (aReason == RefusalReason::NotConfigured) {
+    refusal.mRetryAfter = std::chrono::milliseconds(200);
+  }
+  aRespond(mCallers.mEncodeRefusal(refusal));
+}
+
+std::vector<ServiceName>
+Gateway::ServicesOf(const Route& aRoute)
+{
+  if (const auto* fanOut = std::get_if<FanOutTarget>(&aRoute.mTarget)) {
+    return fanOut->mShards;
+  }
+  if (const auto* split = std::get_if<SplitTarget>(&aRoute.mTarget)) {
+    return { mSplits[aRoute.mName].Next(split->mServices) };
+  }
+  return { std::get<ServiceName>(aRoute.mTarget) };
+}
+
+bool
+Gateway::SetRoutes(RouteTablePtr aTable)
+{
+  if (mRoutes && aTable->Version() <= mRoutes->Version()) {
+    return false;
+  }
+  mRoutes = std::move(aTable);
+  for (const auto& [name, pool] : mPools) {
+    if (const auto* service = mRoutes->Service(name)) {
+      pool->SetMaxConnections(service->mMaxConnections);
+    }
+  }
+  return true;
+}
+
+ServicePool&
+Gateway::PoolOf(const ServiceName& aService)
+{
+  auto& pool = mPools[aService];
+  if (!pool) {
+    pool = std::make_unique<ServicePool>(mWorker.Context(), mOptions.mPools);
+    const auto* service = mRoutes ? mRoutes->Service(aService) : nullptr;
+    if (service) {
+      pool->SetMaxConnections(service->mMaxConnections);
+    }
+  }
+  return *pool;
+}
+
+void
+Gateway::OnUpstreamChanges(const UpstreamDirectory::Changes& aChanges)
+{
+  for (const auto& change : aChanges) {
+    const auto& record = change.mRecord;
+    LogEvent(LogLevel::Info, "upstream-changed",
+             { { "upstream", record.mId.Text() },
+               { "change", KindText(change.mKind) },
+               { "service", record.mService.Text() },
+               { "address", record.mAddress.Text() } });
+    const auto known = mServiceOf.find(record.mId);
+    if (known != mServiceOf.end() && known->second != record.mService) {
+      PoolOf(known->second).OnChange({ UpstreamChange::Kind::Removed, record });
+    }
+    if (change.mKind == UpstreamChange::Kind::Removed) {
+      mServiceOf.erase(record.mId);
+    } else {
+      mServiceOf.insert_or_assign(record.mId, record.mService);
+    }
+    PoolOf(record.mService).OnChange(change);
+  }
+}
+
+void
+Gateway::SetExtraLoad(const ExtraLoadOptions& aOptions)
+{
+  mOptions.mPools.mExtraLoad = aOptions;
+  for (const auto& [name, pool] : mPools) {
+    pool->SetExtraLoad(aOptions);
+  }
+}
+
+void
+Gateway::RefuseRunning()
+{
+  const auto runs = mRuns;
+  for (const auto& run : runs) {
+    run->Abort();
+  }
+}
+
+} // namespace wasabispar
--- /dev/null
+++ b/src/wasabispar/gateway/request_run.hpp
@@ -0,0 +1,111 @@
+/// @file
+/// @brief One running request: its parts, their exchanges and its timers.
+#pragma once
+
+#include "wasabispar/gateway/gateway.hpp"
+#include "wasabispar/routing/gather.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace wasabispar {
+
+/// @brief A request with one part for each service that it asks. Used on the worker of
+/// the gateway.
+///
+/// Invariants: Finish() acts once; no upstream is asked twice for the same part; at most
+/// Route::mMaxAttempts upstreams may run a part; after a part of a request that is not
+/// idempotent may have run, it is not sent again.
+class RequestRun : public std::enable_shared_from_this<RequestRun>
+{
+public:
+  RequestRun(Gateway& aGateway, CallerRequest aRequest, RouteTablePtr aTable,
+             const Route& aRoute, std::vector<ServiceName> aServices,
+             HttpRespondFn aRespond, TimePoint aNow);
+
+  /// @brief Sends the parts, or refuses at once what cannot be served.
+  void Start();
+  /// @brief The caller closed its connection: running exchanges are aborted.
+  void OnCallerGone();
+  /// @brief Ends the request because the process exits.
+  void Abort();
+
+private:
+  using ExchangeId = ReplicaLoad::ExchangeId;
+
+  /// An exchange that has not ended.
+  struct Exchange
+  {
+    ExchangeId mId = 0;
+    ReplicaPtr mReplica;
+    TimePoint mSent;
+  };
+
+  struct Part
+  {
+    ServicePool* mPool = nullptr;
+    /// Upstreams that were asked.
+    std::vector<UpstreamId> mTried;
+    std::vector<Exchange> mOpen;
+    /// Upstreams that may have run or may run the part.
+    std::uint32_t mMayRun = 0;
+    /// Set while the part waits in the queue of its service.
+    std::optional<WaitQueue::Ticket> mTicket;
+    /// When to ask a second upstream; empty when none is to be asked.
+    std::optional<TimePoint> mHedgeAt;
+    std::optional<UpstreamReply> mReply;
+    /// The last failure that an upstream reported.
+    std::optional<UpstreamReply> mFailure;
+  };
+
+  bool CanBeServed(TimePoint aNow);
+  void Launch(std::size_t aPart, TraceStep aStep);
+  bool TryLaunch(std::size_t aPart, TraceStep aStep);
+  void Enqueue(std::size_t aPart, TraceStep aStep);
+  void LeaveQueue(Part& aPart);
+  void Send(std::size_t aPart, const ReplicaPtr& aReplica, TraceStep aStep);
+  void PlanHedge(Part& aPart, Duration aExpected, TimePoint aNow);
+  void Hedge(std::size_t aPart, TimePoint aNow);
+  void OnExchangeEnd(std::size_t aPart, ExchangeId aExchange, HttpExchangeResult aResult,
+                     bool aMayHaveLeft);
+  TraceStep Classify(Part& aPart, const Exchange& aExchange, HttpExchangeResult aResult,
+                     bool aMayHaveLeft, TimePoint aNow);
+  TraceStep ClassifyReply(Part& aPart, const Exchange& aExchange, UpstreamReply aReply,
+                          TimePoint aNow);
+  void AfterFailure(std::size_t aPart, TraceStep aEnd, TimePoint aNow);
+  bool MayRetry(const Part& aPart, TimePoint aNow) const;
+  void Judge();
+  void ArmTimer(TimePoint aNow);
+  void OnTimer();
+  void Answer();
+  void Refuse(RefusalReason aReason);
+  RefusalReason GiveUpReason() const;
+  bool MayHaveRun() const;
+  Duration RetryAfter(TimePoint aNow) const;
+  void Finish(HttpResponse aResponse, std::string_view aOutcome);
+  void CloseOpenExchanges();
+  void ScheduleReap();
+
+  Gateway& mGateway;
+  CallerRequest mRequest;
+  /// Keeps mRoute alive.
+  RouteTablePtr mTable;
+  const Route& mRoute;
+  const FanOutTarget* mFanOut;
+  HttpRespondFn mRespond;
+  RequestTrace mTrace;
+  std::vector<Part> mParts;
+  Gather mGather;
+  /// No verdict while the parts are launched.
+  bool mIsStarting = true;
+  bool mIsFinished = false;
+  /// Ends of exchanges say nothing about their upstreams any more.
+  bool mIsAborted = false;
+  std::optional<TimePoint> mTimerAt;
+  Subscription mTimer;
+};
+
+} // namespace wasabispar
--- /dev/null
+++ b/src/wasabispar/gateway/request_trace.cpp
@@ -0,0 +1,119 @@
+/// @file
+/// @brief RequestTrace and TraceLog.
+#include "wasabispar/gateway/request_trace.hpp"
+
+#include "wasabispar/base/log.hpp"
+
+#include <algorithm>
+
+namespace wasabispar {
+
+namespace {
+
+/// Entries of one request; a fan-out to 54 shards with a hedge each needs about 200.
+constexpr std::size_t kMaxEntries = 256;
+/// Log lines for each second, and what may be saved up: a bound on processor time.
+constexpr double kLinesPerSecond = 80;
+constexpr double kMaxLines = 400;
+
+std::uint64_t
+Microseconds(Duration aDuration)
+{
+  return static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::microseconds>(aDuration).count());
+}
+
+} // namespace
+
+std::string_view
+ToText(TraceStep aStep)
+{
+  switch (aStep) {
+    case TraceStep::Sent:
+      return "sent";
+    case TraceStep::Queued:
+      return "queued";
+    case TraceStep::Hedged:
+      return "hedged";
+    case TraceStep::Retried:
+      return "retried";
+    case TraceStep::HedgeDenied:
+      return "hedge-denied";
+    case TraceStep::RetryDenied:
+      return "retry-denied";
+    case TraceStep::Answered:
+      return "answered";
+    case TraceStep::Shed:
+      return "shed";
+    case TraceStep::Failed:
+      return "failed";
+    case TraceStep::Lost:
+      return "lost";
+    case TraceStep::Unreachable:
+      return "unreachable";
+    case TraceStep::PartGivenUp:
+      break;
+  }
+  return "part-given-up";
+}
+
+void
+RequestTrace::Add(TraceStep aStep, std::size_t aPart, const UpstreamId& aUpstream,
+                  std::uint64_t aFigure, TimePoint aNow)
+{
+  if (mEntries.size() >= kMaxEntries) {
+    ++mOmitted;
+    return;
+  }
+  mEntries.push_back(
+    { aStep, static_cast<std::uint16_t>(aPart), aNow - mStart, aUpstream, aFigure });
+}
+
+void
+TraceLog::Write(const RequestTrace& aTrace, const TraceEnd& aEnd, TimePoint aNow)
+{
+  const auto age = aNow - aTrace.Start();
+  const bool isGood =
+    aEnd.mStatus < 300 && aEnd.mAnswered == aEnd.mParts && age <= aEnd.mObjective;
+  const auto lines = isGood ? 1.0 : 1.0 + static_cast<double>(aTrace.Entries().size());
+  if (!TakeLines(lines, aNow)) {
+    mDropped += static_cast<std::uint64_t>(lines);
+    return;
+  }
+  if (!isGood) {
+    for (const auto& entry : aTrace.Entries()) {
+      LogEvent(LogLevel::Info, "request-step",
+               { { "request", aEnd.mRequestId },
+                 { "step", ToText(entry.mStep) },
+                 { "part", std::uint64_t{ entry.mPart } },
+                 { "upstream", entry.mUpstream.Text() },
+                 { "at_us", Microseconds(entry.mAge) },
+                 { "figure", entry.mFigure } });
+    }
+  }
+  LogEvent(LogLevel::Info, "request-end",
+           { { "request", aEnd.mRequestId },
+             { "route", aEnd.mRoute },
+             { "config_version", aEnd.mTableVersion },
+             { "outcome", aEnd.mOutcome },
+             { "status", std::uint64_t{ aEnd.mStatus } },
+             { "parts", aEnd.mParts },
+             { "answered", aEnd.mAnswered },
+             { "steps_omitted", aTrace.Omitted() },
+             { "took_us", Microseconds(age) } });
+}
+
+bool
+TraceLog::TakeLines(double aLines, TimePoint aNow)
+{
+  const auto elapsed = std::chrono::duration<double>(aNow - mRefilled).count();
+  mTokens = std::min(kMaxLines, mTokens + elapsed * kLinesPerSecond);
+  mRefilled = aNow;
+  if (mTokens < aLines) {
+    return false;
+  }
+  mTokens -= aLines;
+  return true;
+}
+
+} // namespace wasabispar
--- /dev/null
+++ b/src/wasabispar/gateway/service_pool.cpp
@@ -0,0 +1,249 @@
+/// @file
+/// @brief ServicePool.
+#include "wasabispar/gateway/service_pool.hpp"
+
+#include <algorithm>
+
+namespace wasabispar {
+
+namespace {
+
+/// Expected response times before the first sample.
+constexpr Duration kInitialLocal = std::chrono::milliseconds(15);
+constexpr Duration kInitialRemote = std::chrono::milliseconds(50);
+/// Part of an upstream's connections that stays free for closes under way.
+constexpr std::size_t kReservedShare = 10;
+/// Requests that an upstream can queue per slot are not used: one exchange more than the
+/// slots keeps it busy while an answer is on its way.
+constexpr std::size_t kExchangesPerSlot = 2;
+
+ConnectionPoolOptions
+PoolOptions()
+{
+  ConnectionPoolOptions options;
+  options.mWarm = 1;
+  options.mMaxOpening = 2;
+  options.mOpenTimeout = std::chrono::milliseconds(400);
+  options.mReopenDelay = std::chrono::milliseconds(250);
+  options.mQueue.mMaxLengthPerCaller = 64;
+  return options;
+}
+
+bool
+Contains(const std::vector<UpstreamId>& aIds, const UpstreamId& aId)
+{
+  return std::ranges::find(aIds, aId) != aIds.end();
+}
+
+} // namespace
+
+ServicePool::ServicePool(boost::asio::io_context& aContext, ServicePoolOptions aOptions)
+  : mContext(aContext)
+  , mOptions(std::move(aOptions))
+  , mExtraLoad(mOptions.mExtraLoad)
+{
+}
+
+ServicePool::~ServicePool() = default;
+
+void
+ServicePool::SetMaxConnections(std::uint32_t aMax)
+{
+  mMaxConnections = aMax;
+  for (const auto& replica : mReplicas) {
+    replica->mLimit = LimitOf(replica->mRecord);
+  }
+}
+
+void
+ServicePool::SetExtraLoad(const ExtraLoadOptions& aOptions)
+{
+  mOptions.mExtraLoad = aOptions;
+  mExtraLoad.SetOptions(aOptions);
+}
+
+std::size_t
+ServicePool::LimitOf(const UpstreamRecord& aRecord) const
+{
+  const auto usable = mMaxConnections - mMaxConnections / kReservedShare;
+  const auto share = std::max<std::size_t>(1, usable / mOptions.mVmCount);
+  const std::size_t slots = std::max<std::uint32_t>(1, aRecord.mSlots);
+  return std::min(share, slots * kExchangesPerSlot);
+}
+
+void
+ServicePool::OnChange(const UpstreamChange& aChange)
+{
+  const auto known = Find(aChange.mRecord.mId);
+  if (aChange.mKind == UpstreamChange::Kind::Removed) {
+    if (known) {
+      Retire(known);
+    }
+    return;
+  }
+  if (known && aChange.mKind != UpstreamChange::Kind::Replaced) {
+    known->mRecord = aChange.mRecord;
+    return;
+  }
+  if (known) {
+    Retire(known);
+  }
+  mReplicas.push_back(Create(aChange.mRecord));
+}
+
+ReplicaPtr
+ServicePool::Create(const UpstreamRecord& aRecord)
+{
+  const bool isRemote = mOptions.mIsRemote && mOptions.mIsRemote(aRecord.mDataCentre);
+  auto replica = std::make_shared<Replica>(isRemote ? kInitialRemote : kInitialLocal);
+  replica->mRecord = aRecord;
+  replica->mIsRemote = isRemote;
+  replica->mLimit = LimitOf(aRecord);
+  const std::weak_ptr<Replica> weak = replica;
+  ConnectionPoolHooks hooks;
+  hooks.mNow = [] { return BootClock::now(); };
+  hooks.mTryOpen = [weak] {
+    const auto self = weak.lock();
+    if (!self || self->mConnections >= self->mLimit) {
+      return false;
+    }
+    ++self->mConnections;
+    return true;
+  };
+  hooks.mOnClosed = [weak] {
+    if (const auto self = weak.lock()) {
+      --self->mConnections;
+    }
+  };
+  hooks.mSurplus = [weak]() -> std::uint32_t {
+    const auto self = weak.lock();
+    return self && self->mConnections > self->mLimit
+             ? static_cast<std::uint32_t>(self->mConnections - self->mLimit)
+             : 0;
+  };
+  hooks.mSlotLimit = [weak]() -> std::uint32_t {
+    const auto self = weak.lock();
+    return self ? static_cast<std::uint32_t>(self->mLimit) : 0;
+  };
+  hooks.mOnConnected = [weak] {
+    if (const auto self = weak.lock()) {
+      self->mLoad.OnConnected();
+    }
+  };
+  hooks.mOnConnectFailed = [weak] {
+    if (const auto self = weak.lock()) {
+      self->mLoad.OnConnectFailed(BootClock::now());
+    }
+  };
+  // The adapter has validated the address.
+  const auto endpoint = HandleError(
+    [&] { return Endpoint::Parse(aRecord.mAddress.Text()); },
+    [](const Error&) { return Endpoint{}; });
+  replica->mPool =
+    std::make_shared<ConnectionPool>(mContext, endpoint, PoolOptions(), std::move(hooks));
+  return replica;
+}
+
+void
+ServicePool::Retire(const ReplicaPtr& aReplica)
+{
+  aReplica->mRecord.mState = UpstreamState::Draining;
+  std::erase(mReplicas, aReplica);
+}
+
+ReplicaPtr
+ServicePool::Find(const UpstreamId& aId) const
+{
+  const auto found = std::ranges::find_if(
+    mReplicas, [&aId](const ReplicaPtr& aReplica) { return aReplica->mRecord.mId == aId; });
+  return found == mReplicas.end() ? nullptr : *found;
+}
+
+void
+ServicePool::Tick()
+{
+  for (const auto& replica : mReplicas) {
+    if (replica->IsUsable()) {
+      replica->mPool->Tick();
+    }
+  }
+  mQueue.Pump();
+}
+
+void
+ServicePool::Stop()
+{
+  for (const auto& replica : mReplicas) {
+    replica->mPool->Stop();
+  }
+}
+
+std::vector<ReplicaCandidate>
+ServicePool::Candidates(const std::vector<UpstreamId>& aTried, TimePoint aNow) const
+{
+  std::vector<ReplicaCandidate> candidates;
+  for (std::size_t i = 0; i < mReplicas.size(); ++i) {
+    const auto& replica = *mReplicas[i];
+    if (!replica.IsUsable() || replica.IsUnreachable() ||
+        Contains(aTried, replica.mRecord.mId)) {
+      continue;
+    }
+    candidates.push_back({ i, replica.mLoad.Expected(aNow), replica.mLoad.InFlight(),
+                           replica.mLimit, replica.mRecord.mSlots, replica.mIsRemote,
+                           replica.mLoad.IsAvoided(aNow) });
+  }
+  return candidates;
+}
+
+PlacementResult
+ServicePool::Choose(const std::vector<UpstreamId>& aTried, TimePoint aNow) const
+{
+  const auto candidates = Candidates(aTried, aNow);
+  if (candidates.empty()) {
+    return { PlacementResult::Kind::None, nullptr };
+  }
+  const auto chosen = ChooseCandidate(candidates);
+  if (!chosen) {
+    return { PlacementResult::Kind::Busy, nullptr };
+  }
+  return { PlacementResult::Kind::Found, mReplicas[*chosen] };
+}
+
+std::optional<Duration>
+ServicePool::BestExpected(const std::vector<UpstreamId>& aTried, TimePoint aNow) const
+{
+  std::optional<Duration> best;
+  for (const auto& candidate : Candidates(aTried, aNow)) {
+    const auto cost = PlacementCost(candidate);
+    best = best ? std::min(*best, cost) : cost;
+  }
+  return best;
+}
+
+std::size_t
+ServicePool::UsableCount() const
+{
+  return static_cast<std::size_t>(std::ranges::count_if(
+    mReplicas, [](const ReplicaPtr& aReplica) {
+      return aReplica->IsUsable() && !aReplica->IsUnreachable();
+    }));
+}
+
+Duration
+ServicePool::ExpectedWait(std::uint32_t aPriority, TimePoint aAnswerBy,
+                          TimePoint aNow) const
+{
+  const auto ahead = mQueue.Ahead(aPriority, aAnswerBy);
+  double perSecond = 0;
+  for (const auto& candidate : Candidates({}, aNow)) {
+    const auto seconds = ToMillisecondsF(candidate.mExpected) / 1000.0;
+    perSecond += static_cast<double>(candidate.mLimit) / std::max(seconds, 0.001);
+  }
+  if (ahead == 0 || perSecond <= 0) {
+    return Duration{};
+  }
+  return Duration(
+    static_cast<Duration::rep>(static_cast<double>(ahead) / perSecond * 1e9));
+}
+
+} // namespace wasabispar
--- a/src/wasabispar/net/connection_pool.cpp
+++ b/src/wasabispar/net/connection_pool.cpp
@@ -74,7 +74,6 @@
 void
 ConnectionPool::Pump()
 {
-  DropClosedIdle();
   while (!mIdle.empty() && mRunning.size() < mHooks.mSlotLimit() && StartNext()) {
   }
   while (MayOpen()) {
@@ -96,9 +95,25 @@
          mRunning.size() + ready < limit && mHooks.mNow() >= mReopenAt;
 }
 
+/// Closes idle connections from the front until one is open; false when none is left.
+bool
+ConnectionPool::HasOpenIdle()
+{
+  while (!mIdle.empty()) {
+    if (mIdle.front().mConnection->CheckIdle()) {
+      return true;
+    }
+    CloseIdle(1);
+  }
+  return false;
+}
+
 bool
 ConnectionPool::StartNext()
 {
+  if (mQueue.Length() == 0 || !HasOpenIdle()) {
+    return false;
+  }
   std::vector<Queue::Dropped> expired;
   auto popped = mQueue.Pop(mHooks.mNow(), expired);
   for (auto& dropped : expired) {
@@ -134,7 +149,8 @@
   const auto handle = aQueued.mHandle;
   const auto connection = aIdle.mConnection;
   mRunning.emplace(
-    handle, Running{ connection, aIdle.mConnectionId, std::move(request.mDone), false });
+    handle, Running{ connection, aIdle.mConnectionId, std::move(request.mDone),
+                     std::move(request.mMayReuse), false });
   if (request.mOnStarted) {
     request.mOnStarted(aIdle.mConnectionId);
   }
@@ -157,7 +173,9 @@
   }
   auto running = std::move(found->second);
   mRunning.erase(found);
-  if (running.mConnection->IsUsable() && !mIsStopped) {
+  const bool isForeign = aResult.mEnd == HttpExchangeEnd::Response && running.mMayReuse &&
+                         !running.mMayReuse(aResult.mResponse);
+  if (running.mConnection->IsUsable() && !mIsStopped && !isForeign) {
     mIdle.push_back({ running.mConnection, running.mConnectionId });
   } else {
     running.mConnection->Close();
@@ -251,6 +269,16 @@
   }
 }
 
+void
+ConnectionPool::Abort(Handle aHandle)
+{
+  if (mQueuedHandles.contains(aHandle)) {
+    Cancel(aHandle);
+  } else {
+    CloseConnectionOf(aHandle);
+  }
+}
+
 void
 ConnectionPool::CloseIdle(std::size_t aCount)
 {
@@ -279,6 +307,7 @@
   }
   CloseIdle(mHooks.mSurplus());
   DropExpired();
+  DropClosedIdle();
   if (Connections() < mOptions.mWarm && mOpening == 0 && mHooks.mNow() >= mReopenAt &&
       mHooks.mTryOpen()) {
     OpenOne();
--- a/src/wasabispar/net/http_client.cpp
+++ b/src/wasabispar/net/http_client.cpp
@@ -14,6 +14,7 @@
 #include <atomic>
 #include <cerrno>
 #include <charconv>
+#include <algorithm>
 #include <optional>
 
 namespace wasabispar {
@@ -28,6 +29,50 @@
 /// Largest response body that is read; the platform's values go up to 1 MB each.
 constexpr std::uint64_t kMaxResponseBytes = 64ULL * 1024 * 1024;
 
+/// Part of the stated idle time that is left unused: the close may be under way.
+constexpr Duration kIdleReserve = std::chrono::milliseconds(500);
+
+/// How long a connection may stay idle by its Keep-Alive header (`timeout=N`, seconds).
+std::optional<Duration>
+IdleLimit(std::string_view aKeepAlive)
+{
+  constexpr std::string_view kName = "timeout=";
+  const auto at = aKeepAlive.find(kName);
+  if (at == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const auto text = aKeepAlive.substr(at + kName.size());
+  unsigned seconds = 0;
+  const auto parsed = std::from_chars(text.data(), text.data() + text.size(), seconds);
+  if (parsed.ec != std::errc{}) {
+    return std::nullopt;
+  }
+  return std::max<Duration>(Duration{}, std::chrono::seconds(seconds) - kIdleReserve);
+}
+
+http::request<http::string_body>
+ToBeast(HttpRequest aRequest, const Endpoint& aEndpoint)
+{
+  http::request<http::string_body> message;
+  message.method_string(aRequest.mMethod);
+  message.target(aRequest.mTarget);
+  message.version(11);
+  for (const auto& header : aRequest.mHeaders) {
+    message.insert(header.mName, header.mValue);
+  }
+  if (message[http::field::host].empty()) {
+    message.set(http::field::host, aEndpoint.Text());
+  }
+  if (!aRequest.mBody.empty()) {
+    if (!aRequest.mContentType.empty()) {
+      message.set(http::field::content_type, aRequest.mContentType);
+    }
+    message.body() = std::move(aRequest.mBody);
+  }
+  message.prepare_payload();
+  return message;
+}
+
 class HttpConnectionImpl final : public HttpConnection
 {
 public:
@@ -62,7 +107,11 @@
 
   bool IsUsable() const override { return mUsable; }
 
-  bool CheckIdle() override { return mUsable && !WasClosedWhileIdle(); }
+  bool CheckIdle() override
+  {
+    const bool isStale = mIdleLimit && BootClock::now() - mLastUse >= *mIdleLimit;
+    return mUsable && !isStale && !WasClosedWhileIdle();
+  }
 
 private:
   const Endpoint mEndpoint;
@@ -76,6 +125,11 @@
   http::request<http::string_body> mRequest;
   std::optional<http::response_parser<http::string_body>> mParser;
   ExchangeFn mDone;
+  /// The whole request has been handed to the socket.
+  bool mWritten = false;
+  TimePoint mLastUse{};
+  /// Idle time after which the other side may close; empty when it stated none.
+  std::optional<Duration> mIdleLimit;
 
   std::shared_ptr<HttpConnectionImpl> Self()
   {
@@ -128,30 +182,20 @@
       End(HttpExchangeEnd::ConnectFailed, "connection closed by the other side");
       return;
     }
-    mRequest = {};
-    mRequest.method_string(aRequest.mMethod);
-    mRequest.target(aRequest.mTarget);
-    mRequest.version(11);
-    mRequest.set(http::field::host, mEndpoint.Text());
-    for (const auto& header : aRequest.mHeaders) {
-      mRequest.set(header.mName, header.mValue);
-    }
-    if (!aRequest.mBody.empty()) {
-      mRequest.set(http::field::content_type, "application/json");
-      mRequest.body() = std::move(aRequest.mBody);
-    }
-    mRequest.prepare_payload();
+    mRequest = ToBeast(std::move(aRequest), mEndpoint);
     mParser.emplace();
     mParser->body_limit(kMaxResponseBytes);
+    mParser->skip(mRequest.method() == http::verb::head);
+    mWritten = false;
     mStream.expires_after(aTimeout);
     http::async_write(mStream, mRequest,
                       [self = Self()](beast::error_code aError, std::size_t) {
-                        if (aError) {
-                          self->Fail(aError);
-                          return;
-                        }
-                        self->ReadResponse();
+                        // After a failed write a response may still be readable: the
+                        // other side refused the request before it had read all of it.
+                        self->mWritten = !aError;
                       });
+    // An upstream may answer before it has read a long body.
+    ReadResponse();
   }
 
   void ReadResponse()
@@ -170,7 +214,11 @@
   {
     mStream.expires_never();
     auto message = mParser->release();
-    if (!message.keep_alive()) {
+    mLastUse = BootClock::now();
+    mIdleLimit = IdleLimit(message["Keep-Alive"]);
+    // Bytes after the response belong to no request; a request that is not written yet
+    // must not be followed by another one.
+    if (!message.keep_alive() || mBuffer.size() > 0 || !mWritten) {
       mUsable = false;
       mStream.close();
     }
--- a/src/wasabispar/net/http_server.cpp
+++ b/src/wasabispar/net/http_server.cpp
@@ -15,6 +15,7 @@
 #include <mutex>
 #include <optional>
 #include <unordered_map>
+#include <utility>
 
 namespace wasabispar {
 
@@ -47,7 +48,7 @@
   std::atomic<bool> mStopped{ false };
   std::atomic<std::size_t> mRunning{ 0 };
 
-  /// Guards mSessions and mNextWorker.
+  /// Guards mOptions after Start(), mSessions and mNextWorker.
   mutable std::mutex mMutex;
   std::unordered_map<HttpSession*, std::weak_ptr<HttpSession>> mSessions;
   std::size_t mNextWorker = 0;
@@ -55,6 +56,11 @@
   /// Used on worker 0 only, after Start().
   std::optional<tcp::acceptor> mAcceptor;
 
+  HttpServerOptions Options() const
+  {
+    std::lock_guard lock(mMutex);
+    return mOptions;
+  }
   void Accept();
   void StartSession(tcp::socket aSocket);
   void AcceptBacklogAndClose();
@@ -75,6 +81,7 @@
   HttpSession(std::shared_ptr<HttpServer::State> aServer, tcp::socket aSocket)
     : mServer(std::move(aServer))
     , mStream(std::move(aSocket))
+    , mIdleTimer(mStream.get_executor())
   {
     beast::error_code error;
     const auto remote = mStream.socket().remote_endpoint(error);
@@ -103,7 +110,7 @@
   {
     asio::post(mStream.get_executor(), [self = shared_from_this()] {
       if (!self->mHandling && !self->mReading) {
-        self->mStream.expires_after(kStopLinger);
+        self->ArmIdleTimer(kStopLinger);
       }
     });
   }
@@ -118,40 +125,88 @@
   beast::tcp_stream mStream;
   beast::flat_buffer mBuffer;
   std::optional<http::request_parser<http::string_body>> mParser;
+  asio::steady_timer mIdleTimer;
   std::string mPeer;
   /// True from the first byte of a request to its last.
   bool mReading = false;
   /// True from the last byte of a request to the last byte of its response; counted in
   /// the server's mRunning.
   bool mHandling = false;
+  /// A read for the first bytes of the next request is pending. It also finds that the
+  /// caller leaves while its request is handled.
+  bool mAwaitsBytes = false;
+  /// The caller closed the connection.
+  bool mIsGone = false;
+  /// Of the request that is handled.
+  std::shared_ptr<AbandonNotice> mAbandon;
 
   void AwaitRequest()
   {
+    if (mIsGone) {
+      Close();
+      return;
+    }
     if (mBuffer.size() > 0) {
       ReadRequest();
       return;
     }
-    mStream.expires_after(mServer->mStopped ? Duration(kStopLinger)
-                                            : mServer->mOptions.mIdleTimeout);
-    mStream.async_read_some(
+    ArmIdleTimer(mServer->mStopped ? Duration(kStopLinger)
+                                   : mServer->Options().mIdleTimeout);
+    AwaitBytes();
+  }
+
+  void ArmIdleTimer(Duration aTimeout)
+  {
+    mIdleTimer.expires_after(
+      std::chrono::duration_cast<asio::steady_timer::duration>(aTimeout));
+    mIdleTimer.async_wait([weak = weak_from_this()](beast::error_code aError) {
+      const auto self = weak.lock();
+      if (!aError && self && !self->mHandling && !self->mReading) {
+        self->Close();
+      }
+    });
+  }
+
+  /// Reads on the plain socket: the timeouts of mStream are for whole requests.
+  void AwaitBytes()
+  {
+    if (mAwaitsBytes) {
+      return;
+    }
+    mAwaitsBytes = true;
+    mStream.socket().async_read_some(
       mBuffer.prepare(kReadChunk),
       [self = shared_from_this()](beast::error_code aError, std::size_t aBytes) {
-        if (aError) {
-          self->Close();
-          return;
-        }
-        self->mBuffer.commit(aBytes);
-        self->ReadRequest();
+        self->mAwaitsBytes = false;
+        self->OnBytes(aError, aBytes);
       });
   }
 
+  void OnBytes(beast::error_code aError, std::size_t aBytes)
+  {
+    if (aError) {
+      mIsGone = true;
+      Close();
+      if (const auto abandon = std::exchange(mAbandon, nullptr)) {
+        abandon->Notify();
+      }
+      return;
+    }
+    mBuffer.commit(aBytes);
+    if (!mHandling) {
+      mIdleTimer.cancel();
+      ReadRequest();
+    }
+  }
+
   void ReadRequest()
   {
     mReading = true;
+    const auto options = mServer->Options();
     mParser.emplace();
-    mParser->header_limit(static_cast<std::uint32_t>(mServer->mOptions.mMaxHeaderBytes));
-    mParser->body_limit(mServer->mOptions.mMaxBodyBytes);
-    mStream.expires_after(mServer->mOptions.mReadTimeout);
+    mParser->header_limit(static_cast<std::uint32_t>(options.mMaxHeaderBytes));
+    mParser->body_limit(options.mMaxBodyBytes);
+    mStream.expires_after(options.mReadTimeout);
     http::async_read(mStream, mBuffer, *mParser,
                      [self = shared_from_this()](beast::error_code aError, std::size_t) {
                        self->mReading = false;
@@ -209,7 +264,12 @@
         { std::string(field.name_string()), std::string(field.value()) });
     }
     request.mBody = std::move(message.body());
+    request.mContentType.clear();
     request.mPeer = mPeer;
+    request.mAbandon = mAbandon = std::make_shared<AbandonNotice>();
+    if (mBuffer.size() == 0) {
+      AwaitBytes();
+    }
     mServer->mHandler(std::move(request),
                       MakeResponder(message.version(), message.keep_alive()));
   }
@@ -257,16 +317,23 @@
 
   void Write(HttpResponse aResponse, unsigned aVersion, bool aKeepAlive)
   {
+    mAbandon = nullptr;
+    if (mIsGone) {
+      FinishResponse(false);
+      return;
+    }
     auto message = std::make_shared<http::response<http::string_body>>(
       static_cast<http::status>(aResponse.mStatus), aVersion);
-    message->set(http::field::content_type, aResponse.mContentType);
+    if (!aResponse.mContentType.empty()) {
+      message->set(http::field::content_type, aResponse.mContentType);
+    }
     for (const auto& header : aResponse.mHeaders) {
-      message->set(header.mName, header.mValue);
+      message->insert(header.mName, header.mValue);
     }
     message->keep_alive(aKeepAlive && !aResponse.mClose && !mServer->mDraining);
     message->body() = std::move(aResponse.mBody);
     message->prepare_payload();
-    mStream.expires_after(mServer->mOptions.mReadTimeout);
+    mStream.expires_after(mServer->Options().mReadTimeout);
     http::async_write(
       mStream, *message,
       [self = shared_from_this(), message](beast::error_code aError, std::size_t) {
@@ -289,7 +356,11 @@
     Close();
   }
 
-  void Close() { mStream.close(); }
+  void Close()
+  {
+    mIdleTimer.cancel();
+    mStream.close();
+  }
 };
 
 void
@@ -410,6 +481,17 @@
   return {};
 }
 
+void
+HttpServer::SetLimits(const HttpServerOptions& aLimits)
+{
+  std::lock_guard lock(mState->mMutex);
+  auto& options = mState->mOptions;
+  options.mMaxHeaderBytes = aLimits.mMaxHeaderBytes;
+  options.mMaxBodyBytes = aLimits.mMaxBodyBytes;
+  options.mReadTimeout = aLimits.mReadTimeout;
+  options.mIdleTimeout = aLimits.mIdleTimeout;
+}
+
 std::uint16_t
 HttpServer::Port() const
 {
--- a/src/wasabispar/net/http_types.cpp
+++ b/src/wasabispar/net/http_types.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <utility>
 
 namespace wasabispar {
 
@@ -58,6 +59,24 @@
 
 } // namespace
 
+void
+AbandonNotice::Subscribe(std::function<void()> aFn)
+{
+  mFn = std::move(aFn);
+  if (mIsAbandoned && mFn) {
+    Notify();
+  }
+}
+
+void
+AbandonNotice::Notify()
+{
+  mIsAbandoned = true;
+  if (const auto fn = std::exchange(mFn, nullptr)) {
+    fn();
+  }
+}
+
 std::string_view
 HttpRequest::Path() const
 {
--- /dev/null
+++ b/src/wasabispar/routing/extra_load_window.cpp
@@ -0,0 +1,67 @@
+/// @file
+/// @brief ExtraLoadWindow: counts in slices of a twentieth of the window.
+#include "wasabispar/routing/extra_load_window.hpp"
+
+namespace wasabispar {
+
+namespace {
+
+constexpr std::int64_t kSlicesPerWindow = 20;
+
+} // namespace
+
+ExtraLoadWindow::ExtraLoadWindow(ExtraLoadOptions aOptions)
+  : mOptions(aOptions)
+{
+}
+
+void
+ExtraLoadWindow::OnRequest(TimePoint aNow)
+{
+  ++Current(aNow).mRequests;
+  ++mRequests;
+}
+
+bool
+ExtraLoadWindow::TryTake(TimePoint aNow, double aReserve)
+{
+  if (Left(aNow) < 1 + aReserve) {
+    return false;
+  }
+  ++Current(aNow).mExtra;
+  ++mExtra;
+  return true;
+}
+
+double
+ExtraLoadWindow::Left(TimePoint aNow)
+{
+  Current(aNow);
+  const auto allowed =
+    mOptions.mRatio * static_cast<double>(mRequests) + mOptions.mAllowance;
+  return allowed - static_cast<double>(mExtra);
+}
+
+ExtraLoadWindow::Slice&
+ExtraLoadWindow::Current(TimePoint aNow)
+{
+  const auto number = aNow.time_since_epoch() / (mOptions.mWindow / kSlicesPerWindow);
+  Expire(number);
+  if (mSlices.empty() || mSlices.back().mNumber != number) {
+    mSlices.push_back({ number, 0, 0 });
+  }
+  return mSlices.back();
+}
+
+void
+ExtraLoadWindow::Expire(std::int64_t aNumber)
+{
+  // One slice more than the window is kept, so that no window is undercounted.
+  while (!mSlices.empty() && mSlices.front().mNumber < aNumber - kSlicesPerWindow) {
+    mRequests -= mSlices.front().mRequests;
+    mExtra -= mSlices.front().mExtra;
+    mSlices.pop_front();
+  }
+}
+
+} // namespace wasabispar
--- /dev/null
+++ b/src/wasabispar/routing/placement.cpp
@@ -0,0 +1,53 @@
+/// @file
+/// @brief Placement.
+#include "wasabispar/routing/placement.hpp"
+
+#include <algorithm>
+
+namespace wasabispar {
+
+namespace {
+
+/// An upstream of the own region is preferred while it is at most this much slower.
+constexpr Duration kRemoteCost = std::chrono::milliseconds(6);
+/// Least time beyond the expected one before a second upstream is asked.
+constexpr Duration kMinPatience = std::chrono::milliseconds(12);
+
+} // namespace
+
+Duration
+PlacementCost(const ReplicaCandidate& aCandidate)
+{
+  const auto slots = std::max<std::size_t>(1, aCandidate.mSlots);
+  const auto queued = static_cast<Duration::rep>(aCandidate.mInFlight);
+  const auto wait =
+    aCandidate.mExpected * queued / static_cast<Duration::rep>(slots);
+  return aCandidate.mExpected + wait + (aCandidate.mIsRemote ? kRemoteCost : Duration{});
+}
+
+std::optional<std::size_t>
+ChooseCandidate(const std::vector<ReplicaCandidate>& aCandidates)
+{
+  const ReplicaCandidate* best = nullptr;
+  for (const auto& candidate : aCandidates) {
+    if (candidate.mInFlight >= candidate.mLimit) {
+      continue;
+    }
+    if (!best || (best->mIsAvoided && !candidate.mIsAvoided) ||
+        (best->mIsAvoided == candidate.mIsAvoided &&
+         PlacementCost(candidate) < PlacementCost(*best))) {
+      best = &candidate;
+    }
+  }
+  return best ? std::optional(best->mIndex) : std::nullopt;
+}
+
+Duration
+HedgeDelay(Duration aExpected, Duration aAlternative, Duration aLeft)
+{
+  const auto patience = std::max(aExpected * 5 / 2, aExpected + kMinPatience);
+  const auto latest = aLeft - aAlternative * 3 / 2;
+  return std::max(aExpected * 4 / 3, std::min(patience, latest));
+}
+
+} // namespace wasabispar
--- /dev/null
+++ b/src/wasabispar/routing/route.cpp
@@ -0,0 +1,80 @@
+/// @file
+/// @brief Longest-prefix routing.
+#include "wasabispar/routing/route.hpp"
+
+#include <algorithm>
+#include <cctype>
+
+namespace wasabispar {
+
+namespace {
+
+std::string
+HostKey(std::string_view aHost)
+{
+  std::string key(aHost.substr(0, aHost.find(':')));
+  std::ranges::transform(key, key.begin(), [](unsigned char aChar) {
+    return static_cast<char>(std::tolower(aChar));
+  });
+  return key;
+}
+
+} // namespace
+
+std::size_t
+FanOutTarget::RequiredShards() const
+{
+  const auto scaled = mShards.size() * mMinCoverage.Value();
+  return std::max<std::size_t>(1, (scaled + 999) / 1000);
+}
+
+RouteTable::RouteTable(RouteTableVersion aVersion, std::vector<Route> aRoutes,
+                       std::vector<ServiceDefinition> aServices, CallerLimits aLimits)
+  : mVersion(aVersion)
+  , mLimits(aLimits)
+{
+  for (auto& route : aRoutes) {
+    mHosts[HostKey(route.mHost)].push_back(std::move(route));
+  }
+  for (auto& [host, routes] : mHosts) {
+    std::ranges::stable_sort(routes, [](const Route& aLeft, const Route& aRight) {
+      return aLeft.mPathPrefix.size() > aRight.mPathPrefix.size();
+    });
+  }
+  for (auto& service : aServices) {
+    const auto name = service.mName;
+    mServices.emplace(name, std::move(service));
+  }
+}
+
+const Route*
+RouteTable::Find(std::string_view aHost, std::string_view aPath) const
+{
+  const auto host = mHosts.find(HostKey(aHost));
+  if (host == mHosts.end()) {
+    return nullptr;
+  }
+  const auto found = std::ranges::find_if(host->second, [aPath](const Route& aRoute) {
+    return aPath.starts_with(aRoute.mPathPrefix);
+  });
+  return found == host->second.end() ? nullptr : &*found;
+}
+
+const ServiceDefinition*
+RouteTable::Service(const ServiceName& aName) const
+{
+  const auto found = mServices.find(aName);
+  return found == mServices.end() ? nullptr : &found->second;
+}
+
+std::size_t
+RouteTable::RouteCount() const
+{
+  std::size_t count = 0;
+  for (const auto& [host, routes] : mHosts) {
+    count += routes.size();
+  }
+  return count;
+}
+
+} // namespace wasabispar
