--- a/include/wasabispar/routing/extra_load_window.hpp
+++ b/include/wasabispar/routing/extra_load_window.hpp
@@ -19,6 +19,13 @@
   Duration mWindow = std::chrono::seconds(10);
 };
 
+/// @brief What an extra send is for.
+enum class ExtraSend : std::uint8_t
+{
+  Hedge,
+  Retry,
+};
+
 /// @brief Counts the requests and the extra sends (hedges and retries) to one service.
 /// In any window the extra sends stay within mRatio x requests + mAllowance, so that the
 /// sum over all VMs stays within the fleet's bound without messages between them. Not
@@ -31,9 +38,10 @@
   void SetOptions(const ExtraLoadOptions& aOptions) { mOptions = aOptions; }
   /// @brief A request for the service arrived.
   void OnRequest(TimePoint aNow);
-  /// @brief Takes one extra send if @p aReserve further ones would also fit.
-  bool TryTake(TimePoint aNow, double aReserve = 0);
-  /// @brief Extra sends that would be granted now.
+  /// @brief Takes one extra send. A hedge is denied when little is left: retries, which
+  /// a request cannot do without, go first.
+  bool TryTake(ExtraSend aKind, TimePoint aNow);
+  /// @brief Extra sends that would be granted to retries now.
   double Left(TimePoint aNow);
 
 private:
@@ -45,6 +53,7 @@
     std::uint32_t mExtra = 0;
   };
 
+  double Allowed() const;
   Slice& Current(TimePoint aNow);
   void Expire(std::int64_t aNumber);
 
--- a/include/wasabispar/routing/placement.hpp
+++ b/include/wasabispar/routing/placement.hpp
@@ -17,6 +17,8 @@
   /// Position in the caller's list.
   std::size_t mIndex = 0;
   Duration mExpected{};
+  /// Share of requests that fail there, from 0 to 1.
+  double mFailureShare = 0;
   /// Exchanges of this VM that run there.
   std::size_t mInFlight = 0;
   /// Exchanges that this VM may run there.
@@ -29,8 +31,8 @@
   bool mIsAvoided = false;
 };
 
-/// @brief Expected response time with the load that this VM has put there and the
-/// preference for the own region.
+/// @brief Expected response time with the load that this VM has put there, the failures to
+/// be expected and the preference for the own region.
 Duration
 PlacementCost(const ReplicaCandidate& aCandidate);
 
--- a/include/wasabispar/routing/replica_load.hpp
+++ b/include/wasabispar/routing/replica_load.hpp
@@ -42,6 +42,9 @@
 
   /// @brief Expected response time of a request sent at @p aNow.
   Duration Expected(TimePoint aNow) const;
+  /// @brief Share of the recent requests that it shed or whose answer was lost, from 0 to
+  /// 1. Falls while nothing is sent, so that it is tried again.
+  double FailureShare(TimePoint aNow) const;
   /// @brief Until when no request should be sent unless there is no other upstream; a
   /// past time when there is no reason.
   TimePoint AvoidUntil() const { return mAvoidUntil; }
@@ -60,6 +63,7 @@
   /// Removes the exchange and returns its age; zero if it is unknown.
   Duration Take(ExchangeId aExchange, TimePoint aNow);
   void AddSample(Duration aSample, TimePoint aNow);
+  void AddOutcome(bool aFailed, TimePoint aNow);
   void Avoid(TimePoint aNow, Duration aFirst);
 
   /// Exponentially weighted mean of the response times.
@@ -67,6 +71,9 @@
   /// Best recent response time; rises slowly.
   Duration mBest;
   TimePoint mLastSample{};
+  /// Exponentially weighted share of failures, as of mLastOutcome.
+  double mFailureShare = 0;
+  TimePoint mLastOutcome{};
   TimePoint mAvoidUntil{};
   /// Failures since the last answer.
   std::uint32_t mFailures = 0;
--- a/src/wasabispar/gateway/request_run.cpp
+++ b/src/wasabispar/gateway/request_run.cpp
@@ -11,8 +11,6 @@
 
 namespace {
 
-/// Extra sends that hedges leave for retries, as a share of what is left.
-constexpr double kHedgeReserve = 3;
 /// A hedge whose candidates are all busy is tried again after this time.
 constexpr Duration kHedgeRecheck = std::chrono::milliseconds(5);
 /// An exchange that still runs this long after its request was answered is closed.
@@ -240,7 +238,7 @@
   if (placement.mKind == PlacementResult::Kind::None) {
     return;
   }
-  if (!part.mPool->ExtraLoad().TryTake(aNow, kHedgeReserve)) {
+  if (!part.mPool->ExtraLoad().TryTake(ExtraSend::Hedge, aNow)) {
     mTrace.Add(TraceStep::HedgeDenied, aPart, {}, 0, aNow);
     mGateway.mMetrics.mHedgesDenied.Increment();
     return;
@@ -351,7 +349,7 @@
     return;
   }
   // Only what reached an upstream counts as extra load.
-  if (aEnd != TraceStep::Unreachable && !part.mPool->ExtraLoad().TryTake(aNow)) {
+  if (aEnd != TraceStep::Unreachable && !part.mPool->ExtraLoad().TryTake(ExtraSend::Retry, aNow)) {
     mTrace.Add(TraceStep::RetryDenied, aPart, {}, 0, aNow);
     mGateway.mMetrics.mRetriesDenied.Increment();
     mGather.OnLost(aPart);
--- a/src/wasabispar/gateway/service_pool.cpp
+++ b/src/wasabispar/gateway/service_pool.cpp
@@ -188,7 +188,8 @@
         Contains(aTried, replica.mRecord.mId)) {
       continue;
     }
-    candidates.push_back({ i, replica.mLoad.Expected(aNow), replica.mLoad.InFlight(),
+    candidates.push_back({ i, replica.mLoad.Expected(aNow),
+                           replica.mLoad.FailureShare(aNow), replica.mLoad.InFlight(),
                            replica.mLimit, replica.mRecord.mSlots, replica.mIsRemote,
                            replica.mLoad.IsAvoided(aNow) });
   }
--- a/src/wasabispar/routing/extra_load_window.cpp
+++ b/src/wasabispar/routing/extra_load_window.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr std::int64_t kSlicesPerWindow = 20;
+/// Share of the bound that hedges leave for retries.
+constexpr double kRetryShare = 0.35;
 
 } // namespace
 
@@ -23,9 +25,10 @@
 }
 
 bool
-ExtraLoadWindow::TryTake(TimePoint aNow, double aReserve)
+ExtraLoadWindow::TryTake(ExtraSend aKind, TimePoint aNow)
 {
-  if (Left(aNow) < 1 + aReserve) {
+  const auto reserve = aKind == ExtraSend::Hedge ? kRetryShare * Allowed() : 0;
+  if (Left(aNow) < 1 + reserve) {
     return false;
   }
   ++Current(aNow).mExtra;
@@ -37,9 +40,13 @@
 ExtraLoadWindow::Left(TimePoint aNow)
 {
   Current(aNow);
-  const auto allowed =
-    mOptions.mRatio * static_cast<double>(mRequests) + mOptions.mAllowance;
-  return allowed - static_cast<double>(mExtra);
+  return Allowed() - static_cast<double>(mExtra);
+}
+
+double
+ExtraLoadWindow::Allowed() const
+{
+  return mOptions.mRatio * static_cast<double>(mRequests) + mOptions.mAllowance;
 }
 
 ExtraLoadWindow::Slice&
--- a/src/wasabispar/routing/placement.cpp
+++ b/src/wasabispar/routing/placement.cpp
@@ -10,6 +10,9 @@
 
 /// An upstream of the own region is preferred while it is at most this much slower.
 constexpr Duration kRemoteCost = std::chrono::milliseconds(6);
+/// What a failed exchange costs a request: the time until another upstream answers, and
+/// the extra send that it takes.
+constexpr Duration kFailureCost = std::chrono::milliseconds(100);
 /// Least time beyond the expected one before a second upstream is asked.
 constexpr Duration kMinPatience = std::chrono::milliseconds(12);
 
@@ -22,7 +25,10 @@
   const auto queued = static_cast<Duration::rep>(aCandidate.mInFlight);
   const auto wait =
     aCandidate.mExpected * queued / static_cast<Duration::rep>(slots);
-  return aCandidate.mExpected + wait + (aCandidate.mIsRemote ? kRemoteCost : Duration{});
+  const auto failures = Duration(static_cast<Duration::rep>(
+    static_cast<double>(kFailureCost.count()) * aCandidate.mFailureShare));
+  const auto remote = aCandidate.mIsRemote ? kRemoteCost : Duration{};
+  return aCandidate.mExpected + wait + failures + remote;
 }
 
 std::optional<std::size_t>
--- a/src/wasabispar/routing/replica_load.cpp
+++ b/src/wasabispar/routing/replica_load.cpp
@@ -19,6 +19,9 @@
 /// First and longest pause after a lost answer or a failed connection.
 constexpr Duration kLostPause = std::chrono::milliseconds(100);
 constexpr Duration kMaxPause = std::chrono::seconds(1);
+/// Weight of a new outcome in the share of failures, and the time in which it halves.
+constexpr double kOutcomeWeight = 0.12;
+constexpr Duration kFailureHalfLife = std::chrono::milliseconds(1500);
 /// Pause after a shed request: the queue of the upstream has to drain.
 constexpr Duration kShedPause = std::chrono::milliseconds(25);
 
@@ -52,6 +55,7 @@
   }
   mFailures = 0;
   mAvoidUntil = {};
+  AddOutcome(false, aNow);
   AddSample(age, aNow);
 }
 
@@ -59,6 +63,7 @@
 ReplicaLoad::OnShed(ExchangeId aExchange, TimePoint aNow)
 {
   Take(aExchange, aNow);
+  AddOutcome(true, aNow);
   Avoid(aNow, kShedPause);
 }
 
@@ -66,6 +71,7 @@
 ReplicaLoad::OnLost(ExchangeId aExchange, TimePoint aNow)
 {
   Take(aExchange, aNow);
+  AddOutcome(true, aNow);
   Avoid(aNow, kLostPause);
 }
 
@@ -103,6 +109,22 @@
   return expected;
 }
 
+double
+ReplicaLoad::FailureShare(TimePoint aNow) const
+{
+  const auto halvings =
+    ToMillisecondsF(aNow - mLastOutcome) / ToMillisecondsF(kFailureHalfLife);
+  return mFailureShare * std::exp2(-halvings);
+}
+
+void
+ReplicaLoad::AddOutcome(bool aFailed, TimePoint aNow)
+{
+  const auto share = mFailureShare * (1 - kOutcomeWeight);
+  mFailureShare = aFailed ? share + kOutcomeWeight : share;
+  mLastOutcome = aNow;
+}
+
 Duration
 ReplicaLoad::Take(ExchangeId aExchange, TimePoint aNow)
 {
