Test the decisions of the routing layer, with replayed load patterns

The shed pattern fails when the share of failures has no weight in placement (mutation run). Found while writing: an entry of an earlier incarnation of an upstream replaced the newer one; it is ignored now.

--- a/include/wasabispar/base/log.hpp
+++ b/include/wasabispar/base/log.hpp
@@ -26,7 +26,8 @@
 enum class LogTarget
 {
   StandardError,
-  /// Without ever blocking: lines that do not fit into a full pipe are dropped and counted.
+  /// Without ever blocking: lines that do not fit into a full pipe are dropped and
+  /// counted.
   StandardOutput,
 };
 
--- a/include/wasabispar/gateway/request_trace.hpp
+++ b/include/wasabispar/gateway/request_trace.hpp
@@ -87,9 +87,9 @@
   Duration mObjective{};
 };
 
-/// @brief Writes traces within a bound on lines for each second: all decisions of requests
-/// that failed, were late or incomplete, one line for a sample of the others. Not
-/// thread-safe.
+/// @brief Writes traces within a bound on lines for each second: all decisions of
+/// requests that failed, were late or incomplete, one line for a sample of the others.
+/// Not thread-safe.
 class TraceLog
 {
 public:
--- a/include/wasabispar/routing/placement.hpp
+++ b/include/wasabispar/routing/placement.hpp
@@ -31,8 +31,8 @@
   bool mIsAvoided = false;
 };
 
-/// @brief Expected response time with the load that this VM has put there, the failures to
-/// be expected and the preference for the own region.
+/// @brief Expected response time with the load that this VM has put there, the failures
+/// to be expected and the preference for the own region.
 Duration
 PlacementCost(const ReplicaCandidate& aCandidate);
 
--- a/include/wasabispar/routing/upstream_directory.hpp
+++ b/include/wasabispar/routing/upstream_directory.hpp
@@ -74,7 +74,8 @@
 public:
   using Changes = std::vector<UpstreamChange>;
 
-  /// @brief An entry was written. Older revisions than the known one are ignored.
+  /// @brief An entry was written. Older revisions and
+  /// incarnations than the known one are ignored.
   Changes Apply(const UpstreamRecord& aRecord, Revision aRevision);
   /// @brief Entries were removed.
   Changes Remove(const std::vector<UpstreamId>& aIds, Revision aRevision, TimePoint aNow);
--- a/src/wasabispar/gateway/request_run.cpp
+++ b/src/wasabispar/gateway/request_run.cpp
@@ -205,8 +205,8 @@
   pooled.mMayReuse = [self = shared_from_this()](const HttpResponse& aResponse) {
     return self->mGateway.mUpstreams.mMayReuse(self->mRequest, aResponse);
   };
-  pooled.mDone = [self = shared_from_this(), aPart,
-                  exchange](HttpExchangeResult aResult, bool aMayHaveLeft) {
+  pooled.mDone = [self = shared_from_this(), aPart, exchange](HttpExchangeResult aResult,
+                                                              bool aMayHaveLeft) {
     self->OnExchangeEnd(aPart, exchange, std::move(aResult), aMayHaveLeft);
   };
   aReplica->mPool->Submit(exchange, std::move(pooled));
@@ -349,7 +349,8 @@
     return;
   }
   // Only what reached an upstream counts as extra load.
-  if (aEnd != TraceStep::Unreachable && !part.mPool->ExtraLoad().TryTake(ExtraSend::Retry, aNow)) {
+  if (aEnd != TraceStep::Unreachable &&
+      !part.mPool->ExtraLoad().TryTake(ExtraSend::Retry, aNow)) {
     mTrace.Add(TraceStep::RetryDenied, aPart, {}, 0, aNow);
     mGateway.mMetrics.mRetriesDenied.Increment();
     mGather.OnLost(aPart);
--- a/src/wasabispar/gateway/service_pool.cpp
+++ b/src/wasabispar/gateway/service_pool.cpp
@@ -136,9 +136,9 @@
     }
   };
   // The adapter has validated the address.
-  const auto endpoint = HandleError(
-    [&] { return Endpoint::Parse(aRecord.mAddress.Text()); },
-    [](const Error&) { return Endpoint{}; });
+  const auto endpoint =
+    HandleError([&] { return Endpoint::Parse(aRecord.mAddress.Text()); },
+                [](const Error&) { return Endpoint{}; });
   replica->mPool =
     std::make_shared<ConnectionPool>(mContext, endpoint, PoolOptions(), std::move(hooks));
   return replica;
@@ -154,8 +154,9 @@
 ReplicaPtr
 ServicePool::Find(const UpstreamId& aId) const
 {
-  const auto found = std::ranges::find_if(
-    mReplicas, [&aId](const ReplicaPtr& aReplica) { return aReplica->mRecord.mId == aId; });
+  const auto found = std::ranges::find_if(mReplicas, [&aId](const ReplicaPtr& aReplica) {
+    return aReplica->mRecord.mId == aId;
+  });
   return found == mReplicas.end() ? nullptr : *found;
 }
 
@@ -224,8 +225,8 @@
 std::size_t
 ServicePool::UsableCount() const
 {
-  return static_cast<std::size_t>(std::ranges::count_if(
-    mReplicas, [](const ReplicaPtr& aReplica) {
+  return static_cast<std::size_t>(
+    std::ranges::count_if(mReplicas, [](const ReplicaPtr& aReplica) {
       return aReplica->IsUsable() && !aReplica->IsUnreachable();
     }));
 }
--- a/src/wasabispar/net/connection_pool.cpp
+++ b/src/wasabispar/net/connection_pool.cpp
@@ -148,9 +148,9 @@
   }
   const auto handle = aQueued.mHandle;
   const auto connection = aIdle.mConnection;
-  mRunning.emplace(
-    handle, Running{ connection, aIdle.mConnectionId, std::move(request.mDone),
-                     std::move(request.mMayReuse), false });
+  mRunning.emplace(handle,
+                   Running{ connection, aIdle.mConnectionId, std::move(request.mDone),
+                            std::move(request.mMayReuse), false });
   if (request.mOnStarted) {
     request.mOnStarted(aIdle.mConnectionId);
   }
--- a/src/wasabispar/net/http_client.cpp
+++ b/src/wasabispar/net/http_client.cpp
@@ -11,10 +11,10 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <atomic>
 #include <cerrno>
 #include <charconv>
-#include <algorithm>
 #include <optional>
 
 namespace wasabispar {
--- /dev/null
+++ b/src/wasabispar/routing/extra_load_window_test.cpp
@@ -0,0 +1,74 @@
+/// @file
+/// @brief Tests of the bound on extra sends.
+#include "wasabispar/routing/extra_load_window.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <vector>
+
+using namespace wasabispar;
+using namespace std::chrono_literals;
+
+TEST_CASE("retries may use what hedges may not")
+{
+  ExtraLoadWindow window({ 0.2, 0, 10s });
+  const TimePoint now{ 100s };
+  for (int i = 0; i < 100; ++i) {
+    window.OnRequest(now);
+  }
+  int hedges = 0;
+  while (window.TryTake(ExtraSend::Hedge, now)) {
+    ++hedges;
+  }
+  int retries = 0;
+  while (window.TryTake(ExtraSend::Retry, now)) {
+    ++retries;
+  }
+  CHECK(hedges == 13);
+  CHECK(hedges + retries == 20);
+}
+
+TEST_CASE("a restarted VM has its allowance only")
+{
+  ExtraLoadWindow window({ 0.2, 3.9, 10s });
+  const TimePoint now{ 100s };
+  CHECK(window.TryTake(ExtraSend::Retry, now));
+  CHECK(window.TryTake(ExtraSend::Retry, now));
+  CHECK(window.TryTake(ExtraSend::Retry, now));
+  CHECK_FALSE(window.TryTake(ExtraSend::Retry, now));
+}
+
+/// Any window of ten seconds holds at most the share of the requests of that window or of
+/// the half second before it, and the allowance.
+TEST_CASE("no window holds more extra sends than the bound")
+{
+  rc::check([](const std::vector<std::uint16_t>& aGaps) {
+    ExtraLoadWindow window({ 0.2, 4, 10s });
+    std::vector<TimePoint> requests;
+    std::vector<TimePoint> extras;
+    TimePoint now{ 1000s };
+    for (const auto gap : aGaps) {
+      now += std::chrono::milliseconds(gap % 700);
+      window.OnRequest(now);
+      requests.push_back(now);
+      while (window.TryTake(ExtraSend::Retry, now)) {
+        extras.push_back(now);
+      }
+    }
+    for (const auto end : extras) {
+      const auto in = [end](TimePoint aTime, Duration aLength) {
+        return aTime <= end && aTime > end - aLength;
+      };
+      std::size_t extra = 0;
+      std::size_t asked = 0;
+      for (const auto time : extras) {
+        extra += in(time, 10s) ? 1 : 0;
+      }
+      for (const auto time : requests) {
+        asked += in(time, 10500ms) ? 1 : 0;
+      }
+      RC_ASSERT(static_cast<double>(extra) <= 0.2 * static_cast<double>(asked) + 4);
+    }
+  });
+}
--- a/src/wasabispar/routing/placement.cpp
+++ b/src/wasabispar/routing/placement.cpp
@@ -23,8 +23,7 @@
 {
   const auto slots = std::max<std::size_t>(1, aCandidate.mSlots);
   const auto queued = static_cast<Duration::rep>(aCandidate.mInFlight);
-  const auto wait =
-    aCandidate.mExpected * queued / static_cast<Duration::rep>(slots);
+  const auto wait = aCandidate.mExpected * queued / static_cast<Duration::rep>(slots);
   const auto failures = Duration(static_cast<Duration::rep>(
     static_cast<double>(kFailureCost.count()) * aCandidate.mFailureShare));
   const auto remote = aCandidate.mIsRemote ? kRemoteCost : Duration{};
--- /dev/null
+++ b/src/wasabispar/routing/placement_test.cpp
@@ -0,0 +1,90 @@
+/// @file
+/// @brief Tests of placement, with the load patterns that it answers replayed in virtual
+/// time on a simulated service.
+#include "wasabispar/routing/placement.hpp"
+
+#include "routing/service_replay.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace wasabispar;
+using namespace std::chrono_literals;
+
+namespace {
+
+ReplicaCandidate
+Candidate(std::size_t aIndex, Duration aExpected)
+{
+  ReplicaCandidate candidate;
+  candidate.mIndex = aIndex;
+  candidate.mExpected = aExpected;
+  candidate.mLimit = 2;
+  candidate.mSlots = 2;
+  return candidate;
+}
+
+} // namespace
+
+TEST_CASE("an upstream at its limit is not chosen")
+{
+  auto full = Candidate(0, 5ms);
+  full.mInFlight = 2;
+  CHECK(ChooseCandidate({ full, Candidate(1, 50ms) }) == 1U);
+  CHECK(ChooseCandidate({ full }) == std::nullopt);
+}
+
+TEST_CASE("one that failed a short time ago is chosen only when there is no other")
+{
+  auto failed = Candidate(0, 5ms);
+  failed.mIsAvoided = true;
+  CHECK(ChooseCandidate({ failed, Candidate(1, 90ms) }) == 1U);
+  CHECK(ChooseCandidate({ failed }) == 0U);
+}
+
+TEST_CASE("the own region is preferred while it keeps up")
+{
+  auto remote = Candidate(1, 10ms);
+  remote.mIsRemote = true;
+  CHECK(ChooseCandidate({ Candidate(0, 14ms), remote }) == 0U);
+  CHECK(ChooseCandidate({ Candidate(0, 30ms), remote }) == 1U);
+}
+
+TEST_CASE("a second upstream is asked in time to answer before the objective")
+{
+  CHECK(HedgeDelay(8ms, 30ms, 100ms) == 20ms);
+  CHECK(HedgeDelay(30ms, 30ms, 100ms) == 55ms);
+  // Never before the first answer is due.
+  CHECK(HedgeDelay(30ms, 60ms, 100ms) == 40ms);
+}
+
+/// Pattern: 60% of the requests at two of three searchers are shed for seconds while the
+/// third is sound. Without the share of failures in the cost, most requests go on to
+/// those in the own region.
+TEST_CASE("load pattern: searchers that shed lose their traffic to sound ones")
+{
+  ServiceReplay replay({ { .mRtt = 0ms, .mShedShare = 0.6 },
+                         { .mRtt = 24ms, .mIsRemote = true, .mShedShare = 0.6 },
+                         { .mRtt = 24ms, .mIsRemote = true } });
+  const auto result = replay.Run(20, 9s);
+  CHECK(result.FailedShare() < 0.1);
+}
+
+/// Pattern: one searcher of three works eleven times slower for seconds.
+TEST_CASE("load pattern: a slow searcher loses its traffic within a few requests")
+{
+  ServiceReplay replay({ { .mRtt = 0ms, .mSlowdown = 11 },
+                         { .mRtt = 24ms, .mIsRemote = true },
+                         { .mRtt = 24ms, .mIsRemote = true } });
+  const auto result = replay.Run(20, 8s);
+  // One trial each second or so finds whether it has recovered.
+  CHECK(result.SlowShare(60ms) < 0.12);
+}
+
+TEST_CASE("load pattern: a calm service keeps its traffic in the own region")
+{
+  ServiceReplay replay({ { .mRtt = 0ms },
+                         { .mRtt = 24ms, .mIsRemote = true },
+                         { .mRtt = 24ms, .mIsRemote = true } });
+  const auto result = replay.Run(20, 8s);
+  CHECK(result.RemoteShare() < 0.05);
+}
--- a/src/wasabispar/routing/replica_load.cpp
+++ b/src/wasabispar/routing/replica_load.cpp
@@ -95,8 +95,7 @@
   auto expected = mMean;
   const auto idle = aNow - mLastSample;
   if (mMean > mBest && idle > kTrust) {
-    const auto halvings =
-      ToMillisecondsF(idle - kTrust) / ToMillisecondsF(kHalfLife);
+    const auto halvings = ToMillisecondsF(idle - kTrust) / ToMillisecondsF(kHalfLife);
     expected = mBest + Scaled(mMean - mBest, std::exp2(-halvings));
   }
   if (!mInFlight.empty()) {
@@ -128,8 +127,8 @@
 Duration
 ReplicaLoad::Take(ExchangeId aExchange, TimePoint aNow)
 {
-  const auto found =
-    std::ranges::find(mInFlight, aExchange, [](const Exchange& aItem) { return aItem.mId; });
+  const auto found = std::ranges::find(mInFlight, aExchange,
+                                       [](const Exchange& aItem) { return aItem.mId; });
   if (found == mInFlight.end()) {
     return Duration{};
   }
--- /dev/null
+++ b/src/wasabispar/routing/replica_load_test.cpp
@@ -0,0 +1,106 @@
+/// @file
+/// @brief Tests of the estimate of one upstream.
+#include "wasabispar/routing/replica_load.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace wasabispar;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Sends requests that each take @p aTook, one after the other.
+TimePoint
+Answer(ReplicaLoad& aLoad, int aCount, Duration aTook, TimePoint aNow)
+{
+  for (int i = 0; i < aCount; ++i) {
+    aLoad.OnSent(1, aNow);
+    aNow += aTook;
+    aLoad.OnAnswered(1, aNow);
+  }
+  return aNow;
+}
+
+} // namespace
+
+TEST_CASE("the estimate follows the response times")
+{
+  ReplicaLoad load(50ms);
+  auto now = Answer(load, 30, 8ms, TimePoint{ 100s });
+  CHECK(load.Expected(now) < 9ms);
+  now = Answer(load, 4, 80ms, now);
+  CHECK(load.Expected(now) > 40ms);
+}
+
+/// An upstream that pauses: its exchange counts before it ends.
+TEST_CASE("an overdue exchange raises the estimate at once")
+{
+  ReplicaLoad load(8ms);
+  const auto now = Answer(load, 30, 8ms, TimePoint{ 100s });
+  load.OnSent(2, now);
+  CHECK(load.Expected(now + 10ms) < 9ms);
+  CHECK(load.Expected(now + 60ms) == 60ms);
+}
+
+TEST_CASE("an upstream that was slow is tried again after a while without requests")
+{
+  ReplicaLoad load(8ms);
+  auto now = Answer(load, 30, 8ms, TimePoint{ 100s });
+  now = Answer(load, 20, 90ms, now);
+  CHECK(load.Expected(now) > 60ms);
+  CHECK(load.Expected(now + 5s) < 20ms);
+}
+
+TEST_CASE("the share of failures rises with shed requests and falls with time")
+{
+  ReplicaLoad load(8ms);
+  TimePoint now{ 100s };
+  for (ReplicaLoad::ExchangeId id = 0; id < 40; ++id) {
+    load.OnSent(id, now);
+    now += 8ms;
+    if (id % 2 == 0) {
+      load.OnShed(id, now);
+    } else {
+      load.OnAnswered(id, now);
+    }
+  }
+  CHECK(load.FailureShare(now) > 0.35);
+  CHECK(load.FailureShare(now) < 0.65);
+  CHECK(load.FailureShare(now + 6s) < 0.05);
+}
+
+TEST_CASE("lost answers are followed by growing pauses, an answer ends them")
+{
+  ReplicaLoad load(8ms);
+  TimePoint now{ 100s };
+  load.OnSent(1, now);
+  load.OnLost(1, now);
+  CHECK(load.IsAvoided(now + 90ms));
+  CHECK_FALSE(load.IsAvoided(now + 110ms));
+  load.OnSent(2, now);
+  load.OnLost(2, now);
+  CHECK(load.IsAvoided(now + 190ms));
+  Answer(load, 1, 8ms, now);
+  CHECK_FALSE(load.IsAvoided(now + 190ms));
+}
+
+TEST_CASE("an unknown exchange and one ended from this side leave no trace")
+{
+  ReplicaLoad load(8ms);
+  const TimePoint now{ 100s };
+  load.OnAnswered(7, now);
+  load.OnSent(8, now);
+  load.OnAbandoned(8);
+  CHECK(load.InFlight() == 0);
+  CHECK(load.Expected(now + 1s) == 8ms);
+}
+
+TEST_CASE("an upstream that refuses connections is unreachable until one opens")
+{
+  ReplicaLoad load(8ms);
+  CHECK_FALSE(load.IsUnreachable());
+  load.OnConnectFailed(TimePoint{ 100s });
+  CHECK(load.IsUnreachable());
+  load.OnConnected();
+  CHECK_FALSE(load.IsUnreachable());
+}
--- a/src/wasabispar/routing/upstream_directory.cpp
+++ b/src/wasabispar/routing/upstream_directory.cpp
@@ -27,18 +27,26 @@
   return drains ? UpstreamChange::Kind::Draining : UpstreamChange::Kind::Updated;
 }
 
+/// Whether an entry was written by a process that the known one has replaced.
+bool
+IsOlderIncarnation(const UpstreamRecord& aRecord, const UpstreamRecord& aKnown)
+{
+  return aRecord.mStartedUnixMs != 0 && aRecord.mStartedUnixMs < aKnown.mStartedUnixMs;
+}
+
 } // namespace
 
 UpstreamDirectory::Changes
 UpstreamDirectory::Apply(const UpstreamRecord& aRecord, Revision aRevision)
 {
   auto& revision = mRevisions[aRecord.mId];
-  if (aRevision < revision) {
+  const auto known = mKnown.find(aRecord.mId);
+  if (aRevision < revision ||
+      (known != mKnown.end() && IsOlderIncarnation(aRecord, known->second))) {
     return {};
   }
   revision = aRevision;
   mHeld.erase(aRecord.mId);
-  const auto known = mKnown.find(aRecord.mId);
   if (known == mKnown.end()) {
     mKnown.emplace(aRecord.mId, aRecord);
     return { { UpstreamChange::Kind::Added, aRecord } };
--- /dev/null
+++ b/tests/routing/service_replay.hpp
@@ -0,0 +1,141 @@
+/// @file
+/// @brief A service with a few searchers in virtual time, for replays of load patterns.
+#pragma once
+
+#include "wasabispar/base/random.hpp"
+#include "wasabispar/routing/placement.hpp"
+#include "wasabispar/routing/replica_load.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <vector>
+
+namespace wasabispar {
+
+/// @brief How one simulated searcher behaves.
+struct SearcherModel
+{
+  Duration mRtt{};
+  bool mIsRemote = false;
+  /// Factor on the work time.
+  double mSlowdown = 1;
+  /// Share of requests that it sheds, from 0 to 1.
+  double mShedShare = 0;
+};
+
+/// @brief What happened in a replay.
+struct ReplayResult
+{
+  std::size_t mRequests = 0;
+  std::size_t mFailed = 0;
+  std::size_t mRemote = 0;
+  std::vector<Duration> mTimes;
+
+  double FailedShare() const { return Share(mFailed); }
+  double RemoteShare() const { return Share(mRemote); }
+  /// @brief Share of requests that took longer than @p aBound.
+  double SlowShare(Duration aBound) const
+  {
+    std::size_t slow = 0;
+    for (const auto time : mTimes) {
+      slow += time > aBound ? 1 : 0;
+    }
+    return Share(slow);
+  }
+
+private:
+  double Share(std::size_t aCount) const
+  {
+    return static_cast<double>(aCount) / static_cast<double>(mRequests);
+  }
+};
+
+/// @brief Sends requests at a steady rate to the searcher that placement chooses; work
+/// takes 5 to 10 ms.
+class ServiceReplay
+{
+public:
+  explicit ServiceReplay(std::vector<SearcherModel> aModels)
+    : mModels(std::move(aModels))
+    , mRandom(SeededRandom(7))
+  {
+    for (const auto& model : mModels) {
+      mLoads.emplace_back(model.mIsRemote ? std::chrono::milliseconds(50)
+                                          : std::chrono::milliseconds(15));
+    }
+  }
+
+  ReplayResult Run(std::size_t aPerSecond, Duration aLength)
+  {
+    ReplayResult result;
+    const TimePoint start{ std::chrono::seconds(100) };
+    const auto gap =
+      Duration(std::chrono::seconds(1)) / static_cast<Duration::rep>(aPerSecond);
+    for (auto now = start; now < start + aLength; now += gap) {
+      EndDue(now);
+      Send(now, result);
+    }
+    return result;
+  }
+
+private:
+  struct Running
+  {
+    std::size_t mSearcher = 0;
+    ReplicaLoad::ExchangeId mId = 0;
+    TimePoint mEnd;
+    bool mIsShed = false;
+  };
+
+  void EndDue(TimePoint aNow)
+  {
+    std::erase_if(mRunning, [&](const Running& aItem) {
+      if (aItem.mEnd > aNow) {
+        return false;
+      }
+      auto& load = mLoads[aItem.mSearcher];
+      if (aItem.mIsShed) {
+        load.OnShed(aItem.mId, aItem.mEnd);
+      } else {
+        load.OnAnswered(aItem.mId, aItem.mEnd);
+      }
+      return true;
+    });
+  }
+
+  void Send(TimePoint aNow, ReplayResult& aResult)
+  {
+    std::vector<ReplicaCandidate> candidates;
+    for (std::size_t i = 0; i < mLoads.size(); ++i) {
+      candidates.push_back({ i, mLoads[i].Expected(aNow), mLoads[i].FailureShare(aNow),
+                             mLoads[i].InFlight(), 4, 2, mModels[i].mIsRemote,
+                             mLoads[i].IsAvoided(aNow) });
+    }
+    ++aResult.mRequests;
+    const auto chosen = ChooseCandidate(candidates);
+    if (!chosen) {
+      ++aResult.mFailed;
+      return;
+    }
+    const auto& model = mModels[*chosen];
+    const bool isShed = static_cast<double>(mRandom(1000)) < model.mShedShare * 1000;
+    const auto work = static_cast<double>(5000 + mRandom(5000)) * model.mSlowdown;
+    const auto took =
+      model.mRtt +
+      (isShed ? Duration{}
+              : Duration(std::chrono::microseconds(static_cast<std::int64_t>(work))));
+    mLoads[*chosen].OnSent(++mNextId, aNow);
+    mRunning.push_back({ *chosen, mNextId, aNow + took, isShed });
+    aResult.mFailed += isShed ? 1 : 0;
+    aResult.mRemote += model.mIsRemote ? 1 : 0;
+    aResult.mTimes.push_back(took);
+  }
+
+  std::vector<SearcherModel> mModels;
+  RandomFn mRandom;
+  std::vector<ReplicaLoad> mLoads;
+  std::vector<Running> mRunning;
+  ReplicaLoad::ExchangeId mNextId = 0;
+};
+
+} // namespace wasabispar
