--- a/include/wasabispar/gateway/gateway.hpp
+++ b/include/wasabispar/gateway/gateway.hpp
@@ -68,6 +68,8 @@
   void OnUpstreamChanges(const UpstreamDirectory::Changes& aChanges);
   /// @brief Replaces the budget for extra sends.
   void SetExtraLoad(const ExtraLoadOptions& aOptions);
+  /// @brief The shares of connections have changed.
+  void UpdateShares();
 
   /// @brief Whether a configuration is known, so that requests can be served.
   bool IsConfigured() const { return mRoutes != nullptr; }
--- a/include/wasabispar/gateway/service_pool.hpp
+++ b/include/wasabispar/gateway/service_pool.hpp
@@ -28,7 +28,7 @@
   bool mIsRemote = false;
   /// It answered that another upstream has its address.
   bool mIsMisaddressed = false;
-  /// Exchanges and connections that this VM may have there.
+  /// Exchanges and connections that this VM may have there; 0 when other VMs have all.
   std::size_t mLimit = 1;
   std::size_t mConnections = 0;
   ReplicaLoad mLoad;
@@ -58,8 +58,8 @@
   /// Whether a data centre lies in another region than this VM.
   std::function<bool(const DataCentreId&)> mIsRemote;
   ExtraLoadOptions mExtraLoad;
-  /// VMs that may share the connections of an upstream.
-  std::size_t mVmCount = 12;
+  /// Connections that this VM may hold to an upstream that accepts @p aMax in all.
+  std::function<std::size_t(const UpstreamRecord&, std::uint32_t aMax)> mConnectionShare;
 };
 
 /// @brief The result of looking for an upstream.
@@ -87,6 +87,8 @@
   /// @brief Connections that one upstream accepts in all.
   void SetMaxConnections(std::uint32_t aMax);
   void SetExtraLoad(const ExtraLoadOptions& aOptions);
+  /// @brief Asks mConnectionShare again for all upstreams.
+  void UpdateShares();
   void OnChange(const UpstreamChange& aChange);
   /// @brief Opens warm connections and starts waiting requests.
   void Tick();
--- a/src/wasabispar/gateway/gateway.cpp
+++ b/src/wasabispar/gateway/gateway.cpp
@@ -240,6 +240,14 @@
   }
 }
 
+void
+Gateway::UpdateShares()
+{
+  for (const auto& [name, pool] : mPools) {
+    pool->UpdateShares();
+  }
+}
+
 void
 Gateway::RefuseRunning()
 {
--- a/src/wasabispar/gateway/service_pool.cpp
+++ b/src/wasabispar/gateway/service_pool.cpp
@@ -11,8 +11,6 @@
 /// Expected response times before the first sample.
 constexpr Duration kInitialLocal = std::chrono::milliseconds(15);
 constexpr Duration kInitialRemote = std::chrono::milliseconds(50);
-/// Part of an upstream's connections that stays free for closes under way.
-constexpr std::size_t kReservedShare = 10;
 /// Requests that an upstream can queue per slot are not used: one exchange more than the
 /// slots keeps it busy while an answer is on its way.
 constexpr std::size_t kExchangesPerSlot = 2;
@@ -50,6 +48,12 @@
 ServicePool::SetMaxConnections(std::uint32_t aMax)
 {
   mMaxConnections = aMax;
+  UpdateShares();
+}
+
+void
+ServicePool::UpdateShares()
+{
   for (const auto& replica : mReplicas) {
     replica->mLimit = LimitOf(replica->mRecord);
   }
@@ -65,10 +69,11 @@
 std::size_t
 ServicePool::LimitOf(const UpstreamRecord& aRecord) const
 {
-  const auto usable = mMaxConnections - mMaxConnections / kReservedShare;
-  const auto share = std::max<std::size_t>(1, usable / mOptions.mVmCount);
   const std::size_t slots = std::max<std::uint32_t>(1, aRecord.mSlots);
-  return std::min(share, slots * kExchangesPerSlot);
+  const auto share = mOptions.mConnectionShare
+                       ? mOptions.mConnectionShare(aRecord, mMaxConnections)
+                       : mMaxConnections;
+  return std::min<std::size_t>(share, slots * kExchangesPerSlot);
 }
 
 void
@@ -185,7 +190,7 @@
   std::vector<ReplicaCandidate> candidates;
   for (std::size_t i = 0; i < mReplicas.size(); ++i) {
     const auto& replica = *mReplicas[i];
-    if (!replica.IsUsable() || replica.IsUnreachable() ||
+    if (!replica.IsUsable() || replica.mLimit == 0 || replica.IsUnreachable() ||
         Contains(aTried, replica.mRecord.mId)) {
       continue;
     }
@@ -227,7 +232,7 @@
 {
   return static_cast<std::size_t>(
     std::ranges::count_if(mReplicas, [](const ReplicaPtr& aReplica) {
-      return aReplica->IsUsable() && !aReplica->IsUnreachable();
+      return aReplica->IsUsable() && aReplica->mLimit > 0 && !aReplica->IsUnreachable();
     }));
 }
 
