Give each VM one alternative for each shard; let hedges use the budget while nothing is retried

Change: RegionalShares gives each VM its region's upstreams and one elsewhere; the reserve for retries is as large as the retries of the window.

--- a/include/wasabispar/fleet/regional_share.hpp
+++ b/include/wasabispar/fleet/regional_share.hpp
@@ -1,6 +1,6 @@
 /// @file
-/// @brief How the connections of an upstream are shared when there may be more VMs than
-/// connections.
+/// @brief How the connections of a service's upstreams are shared when there may be more
+/// VMs than connections.
 #pragma once
 
 #include "wasabispar/base/ids.hpp"
@@ -14,19 +14,26 @@
 struct ShareHolder
 {
   VmId mVm;
-  /// Whether it lies in the region of the upstream.
-  bool mIsNear = false;
+  RegionId mRegion;
 };
 
-/// @brief Connections that @p aSelf may hold to @p aUpstream, which accepts @p aUsable in
-/// all.
+/// @brief An upstream of the service.
+struct SharedUpstream
+{
+  UpstreamId mUpstream;
+  RegionId mRegion;
+};
+
+/// @brief Connections that @p aSelf may hold to each of @p aUpstreams, in their order. Each
+/// upstream accepts @p aUsable in all.
 ///
-/// Each VM gets an equal share. When there are more VMs than connections, the near VMs
-/// come first and get one each, then the far ones as long as there are any left; the
-/// rendezvous rank for the upstream decides who. The sum over all holders is at most
-/// @p aUsable if all use the same list.
-std::uint32_t
-RegionalShare(const UpstreamId& aUpstream, const VmId& aSelf,
-              const std::vector<ShareHolder>& aHolders, std::uint32_t aUsable);
+/// Each VM gets an equal share. When there are more VMs than connections, a VM gets one to
+/// each upstream of its own region and one to a single upstream elsewhere, so that it
+/// always has an alternative; the VMs of a region are spread evenly over the upstreams
+/// elsewhere. Where that is still too many, the rendezvous rank decides. The sum over all
+/// holders is at most @p aUsable if all use the same lists.
+std::vector<std::uint32_t>
+RegionalShares(const VmId& aSelf, const std::vector<ShareHolder>& aHolders,
+               const std::vector<SharedUpstream>& aUpstreams, std::uint32_t aUsable);
 
 } // namespace wasabispar
--- a/include/wasabispar/gateway/service_pool.hpp
+++ b/include/wasabispar/gateway/service_pool.hpp
@@ -58,8 +58,11 @@
   /// Whether a data centre lies in another region than this VM.
   std::function<bool(const DataCentreId&)> mIsRemote;
   ExtraLoadOptions mExtraLoad;
-  /// Connections that this VM may hold to an upstream that accepts @p aMax in all.
-  std::function<std::size_t(const UpstreamRecord&, std::uint32_t aMax)> mConnectionShare;
+  /// Connections that this VM may hold to each upstream of a service, in their order. Each
+  /// accepts @p aMax in all. Without it this VM uses all of them.
+  std::function<std::vector<std::uint32_t>(const std::vector<UpstreamRecord>&,
+                                           std::uint32_t aMax)>
+    mConnectionShares;
 };
 
 /// @brief The result of looking for an upstream.
@@ -87,7 +90,7 @@
   /// @brief Connections that one upstream accepts in all.
   void SetMaxConnections(std::uint32_t aMax);
   void SetExtraLoad(const ExtraLoadOptions& aOptions);
-  /// @brief Asks mConnectionShare again for all upstreams.
+  /// @brief Asks mConnectionShares again.
   void UpdateShares();
   void OnChange(const UpstreamChange& aChange);
   /// @brief Opens warm connections and starts waiting requests.
@@ -112,7 +115,6 @@
   const std::vector<ReplicaPtr>& Replicas() const { return mReplicas; }
 
 private:
-  std::size_t LimitOf(const UpstreamRecord& aRecord) const;
   ReplicaPtr Create(const UpstreamRecord& aRecord);
   void Retire(const ReplicaPtr& aReplica);
   ReplicaPtr Find(const UpstreamId& aId) const;
--- a/include/wasabispar/routing/extra_load_window.hpp
+++ b/include/wasabispar/routing/extra_load_window.hpp
@@ -38,8 +38,8 @@
   void SetOptions(const ExtraLoadOptions& aOptions) { mOptions = aOptions; }
   /// @brief A request for the service arrived.
   void OnRequest(TimePoint aNow);
-  /// @brief Takes one extra send. A hedge is denied when little is left: retries, which
-  /// a request cannot do without, go first.
+  /// @brief Takes one extra send. While there are retries, which a request cannot do
+  /// without, a hedge leaves room for as many again.
   bool TryTake(ExtraSend aKind, TimePoint aNow);
   /// @brief Extra sends that would be granted to retries now.
   double Left(TimePoint aNow);
@@ -51,6 +51,8 @@
     std::int64_t mNumber = 0;
     std::uint32_t mRequests = 0;
     std::uint32_t mExtra = 0;
+    /// Of mExtra.
+    std::uint32_t mRetries = 0;
   };
 
   double Allowed() const;
@@ -58,10 +60,11 @@
   void Expire(std::int64_t aNumber);
 
   ExtraLoadOptions mOptions;
-  /// Oldest first. Invariant: mRequests and mExtra are the sums over the slices.
+  /// Oldest first. Invariant: the three counts below are the sums over the slices.
   std::deque<Slice> mSlices;
   std::uint64_t mRequests = 0;
   std::uint64_t mExtra = 0;
+  std::uint64_t mRetries = 0;
 };
 
 } // namespace wasabispar
--- a/src/wasabispar/gateway/service_pool.cpp
+++ b/src/wasabispar/gateway/service_pool.cpp
@@ -54,8 +54,17 @@
 void
 ServicePool::UpdateShares()
 {
+  std::vector<UpstreamRecord> records;
   for (const auto& replica : mReplicas) {
-    replica->mLimit = LimitOf(replica->mRecord);
+    records.push_back(replica->mRecord);
+  }
+  const auto shares =
+    mOptions.mConnectionShares
+      ? mOptions.mConnectionShares(records, mMaxConnections)
+      : std::vector<std::uint32_t>(records.size(), mMaxConnections);
+  for (std::size_t i = 0; i < mReplicas.size(); ++i) {
+    const std::size_t slots = std::max<std::uint32_t>(1, records[i].mSlots);
+    mReplicas[i]->mLimit = std::min<std::size_t>(shares[i], slots * kExchangesPerSlot);
   }
 }
 
@@ -66,16 +75,6 @@
   mExtraLoad.SetOptions(aOptions);
 }
 
-std::size_t
-ServicePool::LimitOf(const UpstreamRecord& aRecord) const
-{
-  const std::size_t slots = std::max<std::uint32_t>(1, aRecord.mSlots);
-  const auto share = mOptions.mConnectionShare
-                       ? mOptions.mConnectionShare(aRecord, mMaxConnections)
-                       : mMaxConnections;
-  return std::min<std::size_t>(share, slots * kExchangesPerSlot);
-}
-
 void
 ServicePool::OnChange(const UpstreamChange& aChange)
 {
@@ -83,6 +82,7 @@
   if (aChange.mKind == UpstreamChange::Kind::Removed) {
     if (known) {
       Retire(known);
+      UpdateShares();
     }
     return;
   }
@@ -94,6 +94,7 @@
     Retire(known);
   }
   mReplicas.push_back(Create(aChange.mRecord));
+  UpdateShares();
 }
 
 ReplicaPtr
@@ -103,7 +104,6 @@
   auto replica = std::make_shared<Replica>(isRemote ? kInitialRemote : kInitialLocal);
   replica->mRecord = aRecord;
   replica->mIsRemote = isRemote;
-  replica->mLimit = LimitOf(aRecord);
   const std::weak_ptr<Replica> weak = replica;
   ConnectionPoolHooks hooks;
   hooks.mNow = [] { return BootClock::now(); };
--- a/src/wasabispar/routing/extra_load_window.cpp
+++ b/src/wasabispar/routing/extra_load_window.cpp
@@ -2,12 +2,14 @@
 /// @brief ExtraLoadWindow: counts in slices of a twentieth of the window.
 #include "wasabispar/routing/extra_load_window.hpp"
 
+#include <algorithm>
+
 namespace wasabispar {
 
 namespace {
 
 constexpr std::int64_t kSlicesPerWindow = 20;
-/// Share of the bound that hedges leave for retries.
+/// Share of the bound that hedges leave for retries at the most.
 constexpr double kRetryShare = 0.35;
 
 } // namespace
@@ -27,12 +29,18 @@
 bool
 ExtraLoadWindow::TryTake(ExtraSend aKind, TimePoint aNow)
 {
-  const auto reserve = aKind == ExtraSend::Hedge ? kRetryShare * Allowed() : 0;
-  if (Left(aNow) < 1 + reserve) {
+  const auto left = Left(aNow);
+  const bool isHedge = aKind == ExtraSend::Hedge;
+  const auto reserve =
+    isHedge ? std::min(kRetryShare * Allowed(), static_cast<double>(mRetries)) : 0;
+  if (left < 1 + reserve) {
     return false;
   }
-  ++Current(aNow).mExtra;
+  auto& slice = Current(aNow);
+  ++slice.mExtra;
   ++mExtra;
+  slice.mRetries += isHedge ? 0 : 1;
+  mRetries += isHedge ? 0 : 1;
   return true;
 }
 
@@ -55,7 +63,7 @@
   const auto number = aNow.time_since_epoch() / (mOptions.mWindow / kSlicesPerWindow);
   Expire(number);
   if (mSlices.empty() || mSlices.back().mNumber != number) {
-    mSlices.push_back({ number, 0, 0 });
+    mSlices.push_back({ number, 0, 0, 0 });
   }
   return mSlices.back();
 }
@@ -67,6 +75,7 @@
   while (!mSlices.empty() && mSlices.front().mNumber < aNumber - kSlicesPerWindow) {
     mRequests -= mSlices.front().mRequests;
     mExtra -= mSlices.front().mExtra;
+    mRetries -= mSlices.front().mRetries;
     mSlices.pop_front();
   }
 }
