--- a/include/wasabispar/fleet/regional_share.hpp
+++ b/include/wasabispar/fleet/regional_share.hpp
@@ -30,7 +30,7 @@
 /// Each VM gets an equal share. When there are more VMs than connections, a VM gets one to
 /// each upstream of its own region and one to a single upstream elsewhere, so that it
 /// always has an alternative; the VMs of a region are spread evenly over the upstreams
-/// elsewhere. Where that is still too many, the rendezvous rank decides. The sum over all
+/// elsewhere. What is left goes to the others by rank. Where that is still too many, the rendezvous rank decides. The sum over all
 /// holders is at most @p aUsable if all use the same lists.
 std::vector<std::uint32_t>
 RegionalShares(const VmId& aSelf, const std::vector<ShareHolder>& aHolders,
--- a/src/wasabispar/fleet/regional_share.cpp
+++ b/src/wasabispar/fleet/regional_share.cpp
@@ -111,6 +111,26 @@
   }
 }
 
+/// What is left goes to VMs that do not have the upstream yet, by rank.
+void
+GiveRest(Distribution& aDistribution, const std::vector<ShareHolder>& aRanked,
+         const VmId& aSelf, std::vector<std::uint32_t>& aShares)
+{
+  const auto& upstreams = aDistribution.Upstreams();
+  for (std::size_t i = 0; i < upstreams.size(); ++i) {
+    std::map<RegionId, std::size_t> rankInRegion;
+    for (const auto& holder : aRanked) {
+      const auto positions = Elsewhere(upstreams, holder.mRegion);
+      const auto rank = rankInRegion[holder.mRegion]++;
+      const bool hasIt = upstreams[i].mRegion == holder.mRegion ||
+                         positions[rank % positions.size()] == i;
+      if (!hasIt && aDistribution.Take(i) && holder.mVm == aSelf) {
+        aShares[i] = 1;
+      }
+    }
+  }
+}
+
 } // namespace
 
 std::vector<std::uint32_t>
@@ -131,6 +151,7 @@
   Distribution distribution(aUpstreams, aUsable);
   GiveNear(distribution, ranked, aSelf, shares);
   GiveAlternatives(distribution, ranked, aSelf, shares);
+  GiveRest(distribution, ranked, aSelf, shares);
   return shares;
 }
 
