--- a/src/wasabispar/fleet/regional_share.cpp
+++ b/src/wasabispar/fleet/regional_share.cpp
@@ -122,8 +122,8 @@
     for (const auto& holder : aRanked) {
       const auto positions = Elsewhere(upstreams, holder.mRegion);
       const auto rank = rankInRegion[holder.mRegion]++;
-      const bool hasIt = upstreams[i].mRegion == holder.mRegion ||
-                         positions[rank % positions.size()] == i;
+      const bool hasIt =
+        upstreams[i].mRegion == holder.mRegion || positions[rank % positions.size()] == i;
       if (!hasIt && aDistribution.Take(i) && holder.mVm == aSelf) {
         aShares[i] = 1;
       }
@@ -137,8 +137,8 @@
 RegionalShares(const VmId& aSelf, const std::vector<ShareHolder>& aHolders,
                const std::vector<SharedUpstream>& aUpstreams, std::uint32_t aUsable)
 {
-  const bool isHolder = std::ranges::find(aHolders, aSelf, &ShareHolder::mVm) !=
-                        aHolders.end();
+  const bool isHolder =
+    std::ranges::find(aHolders, aSelf, &ShareHolder::mVm) != aHolders.end();
   if (!isHolder) {
     return std::vector<std::uint32_t>(aUpstreams.size(), 0);
   }
--- /dev/null
+++ b/tests/gateway/gateway_fixture.cpp
@@ -0,0 +1,292 @@
+/// @file
+/// @brief Fake upstreams and the protocol of the gateway's tests.
+#include "gateway_fixture.hpp"
+
+#include <thread>
+
+namespace wasabispar {
+
+namespace {
+
+constexpr auto kId = "Test-Id";
+constexpr auto kLeft = "Test-Left-Ms";
+constexpr auto kSignature = "Test-Signature";
+
+CallerProtocol
+TestCallers()
+{
+  CallerProtocol protocol;
+  protocol.mDecode = [](HttpRequest aRequest) {
+    CallerRequest request;
+    request.mId = CallerRequestId(std::string(aRequest.Header(kId)));
+    request.mHost = "h";
+    request.mPatience =
+      std::chrono::milliseconds(std::stoll(std::string(aRequest.Header(kLeft))));
+    std::erase_if(aRequest.mHeaders,
+                  [](const HttpHeader& aHeader) { return aHeader.mName == kLeft; });
+    request.mMessage = std::move(aRequest);
+    return std::optional(std::move(request));
+  };
+  protocol.mEncodeMerged = [](const MergedAnswer& aAnswer) {
+    HttpResponse response;
+    response.mHeaders.push_back({ "Test-Parts", std::to_string(aAnswer.mParts.size()) });
+    response.mHeaders.push_back({ "Test-Missing", std::to_string(aAnswer.mMissing) });
+    for (const auto& part : aAnswer.mParts) {
+      response.mHeaders.push_back({ kSignature, part.Text() });
+    }
+    response.mBody = aAnswer.mRecords;
+    return response;
+  };
+  protocol.mEncodeRefusal = [](const Refusal& aRefusal) {
+    HttpResponse response;
+    response.mStatus = 599;
+    response.mBody = std::string(ToText(aRefusal.mReason));
+    if (aRefusal.mRetryAfter) {
+      response.mHeaders.push_back(
+        { "Test-Retry-Ms", std::to_string(ToMilliseconds(*aRefusal.mRetryAfter)) });
+    }
+    return response;
+  };
+  return protocol;
+}
+
+UpstreamReply::Kind
+KindOf(const CallerRequest& aRequest, const HttpResponse& aResponse)
+{
+  if (aResponse.Header(kId) != aRequest.mId.Text()) {
+    return UpstreamReply::Kind::Invalid;
+  }
+  switch (aResponse.mStatus) {
+    case 200:
+      return UpstreamReply::Kind::Answer;
+    case 429:
+      return UpstreamReply::Kind::NotRun;
+    case 421:
+      return UpstreamReply::Kind::WrongUpstream;
+    default:
+      return UpstreamReply::Kind::Failure;
+  }
+}
+
+UpstreamProtocol
+TestUpstreams()
+{
+  UpstreamProtocol protocol;
+  protocol.mEncode = [](const CallerRequest& aRequest, const UpstreamId&,
+                        Duration aLeft) {
+    auto message = aRequest.mMessage;
+    message.mAbandon = nullptr;
+    message.mHeaders.push_back({ kLeft, std::to_string(ToMilliseconds(aLeft)) });
+    return message;
+  };
+  protocol.mDecode = [](const CallerRequest& aRequest, HttpResponse aResponse) {
+    UpstreamReply reply;
+    reply.mKind = KindOf(aRequest, aResponse);
+    reply.mSignature = AnswerSignature(std::string(aResponse.Header(kSignature)));
+    reply.mResponse = std::move(aResponse);
+    return reply;
+  };
+  protocol.mMayReuse = [](const CallerRequest& aRequest, const HttpResponse& aResponse) {
+    return aResponse.Header(kId) == aRequest.mId.Text();
+  };
+  return protocol;
+}
+
+} // namespace
+
+FakeUpstream::FakeUpstream(Worker& aWorker, std::string aId)
+  : mWorker(aWorker)
+  , mId(std::move(aId))
+  , mServer(std::make_unique<standins::ConnectionServer>(
+      aWorker.Context(), standins::ConnectionServerOptions{},
+      [this](const standins::ExchangePtr& aExchange) { Handle(aExchange); }))
+{
+  mPort = mServer->Listen(0);
+}
+
+UpstreamRecord
+FakeUpstream::Record(const std::string& aService) const
+{
+  UpstreamRecord record;
+  record.mId = UpstreamId(mId);
+  record.mService = ServiceName(aService);
+  record.mAddress = UpstreamAddress("127.0.0.1:" + std::to_string(mPort));
+  record.mSlots = 2;
+  return record;
+}
+
+void
+FakeUpstream::Kill()
+{
+  mServer->Abort();
+}
+
+std::string
+FakeUpstream::LastTimeLeft() const
+{
+  std::lock_guard lock(mMutex);
+  return mLastTimeLeft;
+}
+
+void
+FakeUpstream::Handle(const standins::ExchangePtr& aExchange)
+{
+  ++mRequests;
+  {
+    std::lock_guard lock(mMutex);
+    mLastTimeLeft = std::string(aExchange->Request().Header(kLeft));
+    if (++mPeers[aExchange->Request().mPeer] == 1) {
+      ++mConnections;
+    }
+  }
+  aExchange->OnGone([this] { ++mAbandoned; });
+  if (mBehaviour == FakeBehaviour::Silent) {
+    mSilent.push_back(aExchange);
+    return;
+  }
+  if (mDelay == Duration{}) {
+    Answer(aExchange);
+    return;
+  }
+  mTimers.push_back(
+    mWorker.Timers().After(mDelay, [this, aExchange] { Answer(aExchange); }));
+}
+
+void
+FakeUpstream::Answer(const standins::ExchangePtr& aExchange)
+{
+  HttpResponse response;
+  response.mContentType = "text/plain";
+  response.mHeaders.push_back({ kId, std::string(aExchange->Request().Header(kId)) });
+  response.mHeaders.push_back({ kSignature, "signed-by-" + mId });
+  response.mBody = mBody;
+  switch (mBehaviour) {
+    case FakeBehaviour::Shed:
+      response.mStatus = 429;
+      break;
+    case FakeBehaviour::LoseAnswer:
+      mServer->ResetConnections();
+      return;
+    case FakeBehaviour::Foreign:
+      response.mHeaders.front().mValue = "another";
+      break;
+    case FakeBehaviour::WrongUpstream:
+      response.mStatus = 421;
+      break;
+    case FakeBehaviour::Fail:
+      response.mStatus = 500;
+      break;
+    case FakeBehaviour::Answer:
+    case FakeBehaviour::Silent:
+      break;
+  }
+  aExchange->Respond(std::move(response));
+}
+
+GatewayFixture::GatewayFixture()
+{
+  GatewayOptions options;
+  options.mPools.mIsRemote = [](const DataCentreId&) { return false; };
+  options.mPools.mExtraLoad.mAllowance = 100;
+  OnWorker([&] {
+    mGateway = std::make_unique<Gateway>(mWorker, options, TestCallers(), TestUpstreams(),
+                                         mMetrics);
+  });
+}
+
+GatewayFixture::~GatewayFixture()
+{
+  mWorker.Stop();
+}
+
+FakeUpstream&
+GatewayFixture::Add(const std::string& aService, const std::string& aId)
+{
+  OnWorker([&] {
+    mUpstreams.push_back(std::make_unique<FakeUpstream>(mWorker, aId));
+    mGateway->OnUpstreamChanges(
+      { { UpstreamChange::Kind::Added, mUpstreams.back()->Record(aService) } });
+  });
+  return *mUpstreams.back();
+}
+
+void
+GatewayFixture::SetRoutes(std::vector<Route> aRoutes)
+{
+  std::map<ServiceName, ServiceDefinition> services;
+  OnWorker([&] {
+    std::vector<ServiceDefinition> definitions;
+    for (const auto& route : aRoutes) {
+      if (const auto* fanOut = std::get_if<FanOutTarget>(&route.mTarget)) {
+        for (const auto& shard : fanOut->mShards) {
+          definitions.push_back({ shard, 16 });
+        }
+      } else if (const auto* service = std::get_if<ServiceName>(&route.mTarget)) {
+        definitions.push_back({ *service, 16 });
+      }
+    }
+    mGateway->SetRoutes(std::make_shared<const RouteTable>(
+      RouteTableVersion(++mVersion), std::move(aRoutes), std::move(definitions),
+      CallerLimits{}));
+  });
+}
+
+std::future<GatewayAnswer>
+GatewayFixture::Send(const std::string& aPath, Duration aPatience)
+{
+  auto promise = std::make_shared<std::promise<GatewayAnswer>>();
+  auto future = promise->get_future();
+  HttpRequest request;
+  request.mTarget = aPath;
+  request.mContentType.clear();
+  request.mHeaders.push_back({ kId, "request-" + std::to_string(++mNextId) });
+  request.mHeaders.push_back({ kLeft, std::to_string(ToMilliseconds(aPatience)) });
+  request.mAbandon = mLastAbandon = std::make_shared<AbandonNotice>();
+  mWorker.Post([this, promise, request = std::move(request)]() mutable {
+    const auto start = BootClock::now();
+    mGateway->Handle(std::move(request), [promise, start](HttpResponse aResponse) {
+      promise->set_value({ std::move(aResponse), BootClock::now() - start });
+    });
+  });
+  return future;
+}
+
+GatewayAnswer
+GatewayFixture::Ask(const std::string& aPath, Duration aPatience)
+{
+  return Send(aPath, aPatience).get();
+}
+
+void
+GatewayFixture::Leave()
+{
+  OnWorker([this] { mLastAbandon->Notify(); });
+}
+
+void
+GatewayFixture::OnWorker(const std::function<void()>& aFn)
+{
+  std::promise<void> done;
+  mWorker.Post([&] {
+    aFn();
+    done.set_value();
+  });
+  done.get_future().wait();
+}
+
+Route
+MakeRoute(const std::string& aName, RouteTarget aTarget, bool aIsIdempotent)
+{
+  Route route;
+  route.mName = RouteName(aName);
+  route.mHost = "h";
+  route.mPathPrefix = "/" + aName + "/";
+  route.mTarget = std::move(aTarget);
+  route.mIsIdempotent = aIsIdempotent;
+  route.mMaxAttempts = 2;
+  route.mTimeout = std::chrono::seconds(1);
+  route.mObjective = std::chrono::milliseconds(300);
+  return route;
+}
+
+} // namespace wasabispar
