--- a/include/wasabispar/gateway/request_trace.hpp
+++ b/include/wasabispar/gateway/request_trace.hpp
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace wasabispar {
@@ -95,7 +96,12 @@
 public:
   /// @brief Writes the trace, or counts its lines as dropped.
   void Write(const RequestTrace& aTrace, const TraceEnd& aEnd, TimePoint aNow);
-  std::uint64_t Dropped() const { return mDropped; }
+  /// @brief Writes a line for a request that was refused before it was routed.
+  void WriteUnrouted(std::string_view aRequestId, std::string_view aHost,
+                     std::uint64_t aTableVersion, std::string_view aOutcome,
+                     TimePoint aNow);
+  /// @brief Lines dropped since the last call.
+  std::uint64_t TakeDropped() { return std::exchange(mDropped, 0); }
 
 private:
   bool TakeLines(double aLines, TimePoint aNow);
--- a/include/wasabispar/routing/upstream_directory.hpp
+++ b/include/wasabispar/routing/upstream_directory.hpp
@@ -84,18 +84,26 @@
                   TimePoint aNow);
   /// @brief The registry answers again after it was away.
   void OnRegistryReturned(TimePoint aNow);
-  /// @brief Carries out the removals whose hold time has ended.
+  /// @brief Carries out the removals whose hold time has ended and forgets old ones.
   Changes Tick(TimePoint aNow);
 
   const std::map<UpstreamId, UpstreamRecord>& Known() const { return mKnown; }
 
 private:
   bool MustHold(std::size_t aRemovals, TimePoint aNow) const;
-  void Erase(const UpstreamId& aId, Changes& aChanges);
+  void Erase(const UpstreamId& aId, TimePoint aNow, Changes& aChanges);
 
   std::map<UpstreamId, UpstreamRecord> mKnown;
-  /// Revision of the last event of each id, removed ones included.
-  std::map<UpstreamId, Revision> mRevisions;
+  /// The last event of an id.
+  struct LastEvent
+  {
+    Revision mRevision;
+    /// When the upstream was removed; empty while it is known.
+    std::optional<TimePoint> mRemoved;
+  };
+
+  /// Kept for a while after a removal, so that an older event does not undo it.
+  std::map<UpstreamId, LastEvent> mLastEvents;
   /// Removals that are not believed yet, with the end of the hold time. Invariant: each
   /// id is in mKnown.
   std::map<UpstreamId, TimePoint> mHeld;
--- a/src/wasabispar/app/operator_pages_test.cpp
+++ b/src/wasabispar/app/operator_pages_test.cpp
@@ -44,10 +44,12 @@
 Sources()
 {
   std::string all;
-  for (const auto& entry : files::recursive_directory_iterator(kRoot / "src")) {
-    const auto name = entry.path().filename().string();
-    if (name.ends_with(".cpp") && !name.ends_with("_test.cpp")) {
-      all += Read(entry.path());
+  for (const auto* folder : { "src", "platform" }) {
+    for (const auto& entry : files::recursive_directory_iterator(kRoot / folder)) {
+      const auto name = entry.path().filename().string();
+      if (name.ends_with(".cpp") && !name.ends_with("_test.cpp")) {
+        all += Read(entry.path());
+      }
     }
   }
   return all;
--- a/src/wasabispar/gateway/gateway.cpp
+++ b/src/wasabispar/gateway/gateway.cpp
@@ -111,6 +111,8 @@
     for (const auto& [name, pool] : mPools) {
       pool->Tick();
     }
+    mMetrics.mTraceLinesDropped.Increment(
+      static_cast<double>(mTraceLog.TakeDropped()));
   });
 }
 
@@ -155,11 +157,10 @@
 {
   const auto outcome = ToText(aReason);
   mMetrics.CountRequest(outcome);
-  LogEvent(LogLevel::Info, "request-end",
-           { { "request", aRequest ? aRequest->mId.Text() : "" },
-             { "host", aRequest ? aRequest->mHost : "" },
-             { "config_version", mRoutes ? mRoutes->Version().Value() : 0 },
-             { "outcome", outcome } });
+  mTraceLog.WriteUnrouted(
+    aRequest ? aRequest->mId.Text() : std::string_view(),
+    aRequest ? aRequest->mHost : std::string_view(),
+    mRoutes ? mRoutes->Version().Value() : 0, outcome, BootClock::now());
   Refusal refusal{ aReason, {} };
   if (aReason == RefusalReason::NotConfigured) {
     refusal.mRetryAfter = std::chrono::milliseconds(200);
--- a/src/wasabispar/gateway/request_trace.cpp
+++ b/src/wasabispar/gateway/request_trace.cpp
@@ -103,6 +103,22 @@
              { "took_us", Microseconds(age) } });
 }
 
+void
+TraceLog::WriteUnrouted(std::string_view aRequestId, std::string_view aHost,
+                        std::uint64_t aTableVersion, std::string_view aOutcome,
+                        TimePoint aNow)
+{
+  if (!TakeLines(1, aNow)) {
+    ++mDropped;
+    return;
+  }
+  LogEvent(LogLevel::Info, "request-unrouted",
+           { { "request", aRequestId },
+             { "host", aHost },
+             { "config_version", aTableVersion },
+             { "outcome", aOutcome } });
+}
+
 bool
 TraceLog::TakeLines(double aLines, TimePoint aNow)
 {
--- a/src/wasabispar/routing/upstream_directory.cpp
+++ b/src/wasabispar/routing/upstream_directory.cpp
@@ -11,6 +11,8 @@
 
 /// Upstreams that live are registered again this long after the registry's return.
 constexpr Duration kReturnGrace = std::chrono::milliseconds(2200);
+/// An event that arrives later than this after a removal is taken as new.
+constexpr Duration kRememberTime = std::chrono::seconds(60);
 /// More removals at once than this, and than a share of all, are held.
 constexpr std::size_t kManyRemovals = 3;
 constexpr std::size_t kManyRemovalsShare = 8;
@@ -39,13 +41,13 @@
 UpstreamDirectory::Changes
 UpstreamDirectory::Apply(const UpstreamRecord& aRecord, Revision aRevision)
 {
-  auto& revision = mRevisions[aRecord.mId];
+  auto& last = mLastEvents[aRecord.mId];
   const auto known = mKnown.find(aRecord.mId);
-  if (aRevision < revision ||
+  if (aRevision < last.mRevision ||
       (known != mKnown.end() && IsOlderIncarnation(aRecord, known->second))) {
     return {};
   }
-  revision = aRevision;
+  last = { aRevision, {} };
   mHeld.erase(aRecord.mId);
   if (known == mKnown.end()) {
     mKnown.emplace(aRecord.mId, aRecord);
@@ -70,16 +72,15 @@
   const bool mustHold = MustHold(static_cast<std::size_t>(abrupt), aNow);
   Changes changes;
   for (const auto& id : aIds) {
-    auto& revision = mRevisions[id];
     const auto known = mKnown.find(id);
-    if (aRevision < revision || known == mKnown.end()) {
+    if (known == mKnown.end() || aRevision < mLastEvents[id].mRevision) {
       continue;
     }
-    revision = aRevision;
+    mLastEvents[id].mRevision = aRevision;
     if (mustHold && known->second.mState == UpstreamState::Serving) {
       mHeld.try_emplace(id, aNow + kReturnGrace);
     } else {
-      Erase(id, changes);
+      Erase(id, aNow, changes);
     }
   }
   return changes;
@@ -121,9 +122,13 @@
     const auto current = held++;
     if (current->second <= aNow) {
       const auto id = current->first;
-      Erase(id, changes);
+      Erase(id, aNow, changes);
     }
   }
+  std::erase_if(mLastEvents, [aNow](const auto& aItem) {
+    const auto& removed = aItem.second.mRemoved;
+    return removed && aNow - *removed > kRememberTime;
+  });
   return changes;
 }
 
@@ -136,8 +141,9 @@
 }
 
 void
-UpstreamDirectory::Erase(const UpstreamId& aId, Changes& aChanges)
+UpstreamDirectory::Erase(const UpstreamId& aId, TimePoint aNow, Changes& aChanges)
 {
+  mLastEvents[aId].mRemoved = aNow;
   const auto known = mKnown.find(aId);
   aChanges.push_back({ UpstreamChange::Kind::Removed, known->second });
   mKnown.erase(known);
