--- a/src/wasabispar/gateway/request_run.cpp
+++ b/src/wasabispar/gateway/request_run.cpp
@@ -193,7 +193,7 @@
                                 : metrics.mSentRetry)
     .Increment();
   part.mTried.push_back(aReplica->mRecord.mId);
-  part.mOpen.push_back({ exchange, aReplica, now });
+  part.mOpen.push_back({ exchange, aReplica, now, false });
   ++part.mMayRun;
   PlanHedge(part, expected, now);
   aReplica->mLoad.OnSent(exchange, now);
@@ -205,6 +205,9 @@
   pooled.mMayReuse = [self = shared_from_this()](const HttpResponse& aResponse) {
     return self->mGateway.mUpstreams.mMayReuse(self->mRequest, aResponse);
   };
+  pooled.mOnStarted = [self = shared_from_this(), aPart, exchange](std::uint64_t) {
+    self->OnStarted(aPart, exchange);
+  };
   pooled.mDone = [self = shared_from_this(), aPart, exchange](HttpExchangeResult aResult,
                                                               bool aMayHaveLeft) {
     self->OnExchangeEnd(aPart, exchange, std::move(aResult), aMayHaveLeft);
@@ -246,6 +249,16 @@
   Send(aPart, placement.mReplica, TraceStep::Hedged);
 }
 
+void
+RequestRun::OnStarted(std::size_t aPart, ExchangeId aExchange)
+{
+  auto& open = mParts[aPart].mOpen;
+  const auto found = std::ranges::find(open, aExchange, &Exchange::mId);
+  if (found != open.end()) {
+    found->mHasStarted = true;
+  }
+}
+
 void
 RequestRun::OnExchangeEnd(std::size_t aPart, ExchangeId aExchange,
                           HttpExchangeResult aResult, bool aMayHaveLeft)
@@ -460,7 +473,10 @@
 bool
 RequestRun::MayHaveRun() const
 {
-  return std::ranges::any_of(mParts, [](const Part& aPart) { return aPart.mMayRun > 0; });
+  return std::ranges::any_of(mParts, [](const Part& aPart) {
+    const auto unstarted = std::ranges::count(aPart.mOpen, false, &Exchange::mHasStarted);
+    return aPart.mMayRun > static_cast<std::uint32_t>(unstarted);
+  });
 }
 
 void
@@ -505,6 +521,7 @@
   for (auto& part : mParts) {
     LeaveQueue(part);
   }
+  DropUnstarted();
   if (mRequest.mMessage.mAbandon) {
     mRequest.mMessage.mAbandon->Subscribe({});
   }
@@ -524,6 +541,21 @@
   mGateway.mRuns.erase(self);
 }
 
+/// What still waits for a connection must not be sent after the final answer, which may
+/// say that the request did not run.
+void
+RequestRun::DropUnstarted()
+{
+  for (auto& part : mParts) {
+    const auto open = part.mOpen;
+    for (const auto& exchange : open) {
+      if (!exchange.mHasStarted) {
+        exchange.mReplica->mPool->Abort(exchange.mId);
+      }
+    }
+  }
+}
+
 /// The slower exchanges of hedged parts may finish, so that their connections can be
 /// used again; those that hang are closed.
 void
--- a/src/wasabispar/gateway/request_run.hpp
+++ b/src/wasabispar/gateway/request_run.hpp
@@ -42,6 +42,8 @@
     ExchangeId mId = 0;
     ReplicaPtr mReplica;
     TimePoint mSent;
+    /// A connection has been found for it; until then no byte can have left.
+    bool mHasStarted = false;
   };
 
   struct Part
@@ -69,6 +71,7 @@
   void Send(std::size_t aPart, const ReplicaPtr& aReplica, TraceStep aStep);
   void PlanHedge(Part& aPart, Duration aExpected, TimePoint aNow);
   void Hedge(std::size_t aPart, TimePoint aNow);
+  void OnStarted(std::size_t aPart, ExchangeId aExchange);
   void OnExchangeEnd(std::size_t aPart, ExchangeId aExchange, HttpExchangeResult aResult,
                      bool aMayHaveLeft);
   TraceStep Classify(Part& aPart, const Exchange& aExchange, HttpExchangeResult aResult,
@@ -87,6 +90,7 @@
   Duration RetryAfter(TimePoint aNow) const;
   void Finish(HttpResponse aResponse, std::string_view aOutcome);
   void CloseOpenExchanges();
+  void DropUnstarted();
   void ScheduleReap();
 
   Gateway& mGateway;
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -210,6 +210,33 @@
   return *mUpstreams.back();
 }
 
+void
+GatewayFixture::AddUnconnectable(const std::string& aService, const std::string& aId)
+{
+  using boost::asio::ip::tcp;
+  constexpr int kFillers = 4;
+  OnWorker([&] {
+    const tcp::endpoint any(boost::asio::ip::make_address("127.0.0.1"), 0);
+    auto listener = std::make_unique<tcp::acceptor>(mWorker.Context());
+    listener->open(any.protocol());
+    listener->bind(any);
+    listener->listen(0);
+    for (int i = 0; i < kFillers; ++i) {
+      mFillers.push_back(std::make_unique<tcp::socket>(mWorker.Context()));
+      mFillers.back()->async_connect(listener->local_endpoint(),
+                                     [](boost::system::error_code) {});
+    }
+    UpstreamRecord record;
+    record.mId = UpstreamId(aId);
+    record.mService = ServiceName(aService);
+    record.mAddress = UpstreamAddress(
+      "127.0.0.1:" + std::to_string(listener->local_endpoint().port()));
+    record.mSlots = 2;
+    mFullListeners.push_back(std::move(listener));
+    mGateway->OnUpstreamChanges({ { UpstreamChange::Kind::Added, record } });
+  });
+}
+
 void
 GatewayFixture::SetRoutes(std::vector<Route> aRoutes)
 {
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -6,6 +6,8 @@
 #include "tests/standins/connection_server.hpp"
 #include "wasabispar/gateway/gateway.hpp"
 
+#include <boost/asio/ip/tcp.hpp>
+
 #include <atomic>
 #include <future>
 #include <map>
@@ -89,6 +91,8 @@
 
   /// @brief Adds an upstream of @p aService and waits until the gateway is connected.
   FakeUpstream& Add(const std::string& aService, const std::string& aId);
+  /// @brief Adds an upstream whose connections never open: its accept queue is full.
+  void AddUnconnectable(const std::string& aService, const std::string& aId);
   /// @brief Routes host `h` by the given routes.
   void SetRoutes(std::vector<Route> aRoutes);
   std::future<GatewayAnswer> Send(const std::string& aPath, Duration aPatience);
@@ -105,6 +109,9 @@
   Worker mWorker;
   std::vector<std::unique_ptr<FakeUpstream>> mUpstreams;
   std::unique_ptr<Gateway> mGateway;
+  /// The listener and the connections that fill the queue of AddUnconnectable().
+  std::vector<std::unique_ptr<boost::asio::ip::tcp::acceptor>> mFullListeners;
+  std::vector<std::unique_ptr<boost::asio::ip::tcp::socket>> mFillers;
   std::uint64_t mVersion = 0;
   std::uint64_t mNextId = 0;
   std::shared_ptr<AbandonNotice> mLastAbandon;
--- a/tests/gateway/single_test.cpp
+++ b/tests/gateway/single_test.cpp
@@ -40,9 +40,10 @@
 
 template<class Predicate>
 bool
-Eventually(Predicate aPredicate)
+Eventually(Predicate aPredicate, Duration aTimeout = 2s)
 {
-  for (int i = 0; i < 200; ++i) {
+  const auto end = BootClock::now() + aTimeout;
+  while (BootClock::now() < end) {
     if (aPredicate()) {
       return true;
     }
@@ -131,6 +132,8 @@
 TEST_CASE_FIXTURE(TwoUpstreams, "an upstream that is not the expected one is left alone")
 {
   First(FakeBehaviour::WrongUpstream);
+  // Otherwise the other one would be preferred for its speed.
+  OnWorker([this] { mSecond.mDelay = 60ms; });
   for (int i = 0; i < 6; ++i) {
     CHECK(Ask("/hold/1").mResponse.mStatus == 200);
   }
@@ -175,7 +178,9 @@
   auto answer = Send("/hold/1", 2s);
   REQUIRE(Eventually([this] { return Requests() == 1; }));
   Leave();
-  CHECK(Eventually([this] { return mFirst.Abandoned() + mSecond.Abandoned() == 1; }));
+  // At once, not when a hanging exchange would be closed anyway.
+  CHECK(
+    Eventually([this] { return mFirst.Abandoned() + mSecond.Abandoned() == 1; }, 200ms));
   // The responder was dropped without a response.
   CHECK_THROWS_AS(answer.get(), std::future_error);
   OnWorker([this] { CHECK(Service().RunningCount() == 0); });
@@ -195,6 +200,17 @@
   CHECK(answer.mTook < 100ms);
 }
 
+/// The time is over before a connection opened: the request has not run, and its caller
+/// may send it again although it may run once only.
+TEST_CASE_FIXTURE(GatewayFixture, "what was never sent is refused as not run")
+{
+  AddUnconnectable("s", "full");
+  SetRoutes({ MakeRoute("hold", ServiceName("s"), false) });
+  const auto answer = Ask("/hold/1", 250ms);
+  CHECK(answer.mResponse.mBody == "unavailable");
+  CHECK(answer.mTook < 300ms);
+}
+
 TEST_CASE_FIXTURE(TwoUpstreams, "a draining upstream gets no new request")
 {
   CHECK(Ask("/read/1").mResponse.mStatus == 200);
