Close connections that are not needed; open scarce ones to another region on demand

Change: connections beyond the warm ones close after 2 s of idleness, the last used is used first; an upstream of another region is kept warm only with two connections or more for each VM.

--- a/include/wasabispar/gateway/service_pool.hpp
+++ b/include/wasabispar/gateway/service_pool.hpp
@@ -31,6 +31,8 @@
   /// Exchanges and connections that this VM may have there; 0 when other VMs have all.
   std::size_t mLimit = 1;
   std::size_t mConnections = 0;
+  /// Connections that are kept open without traffic.
+  std::size_t mWarm = 0;
   ReplicaLoad mLoad;
   std::shared_ptr<ConnectionPool> mPool;
 
@@ -58,8 +60,8 @@
   /// Whether a data centre lies in another region than this VM.
   std::function<bool(const DataCentreId&)> mIsRemote;
   ExtraLoadOptions mExtraLoad;
-  /// Connections that this VM may hold to each upstream of a service, in their order. Each
-  /// accepts @p aMax in all. Without it this VM uses all of them.
+  /// Connections that this VM may hold to each upstream of a service, in their order.
+  /// Each accepts @p aMax in all. Without it this VM uses all of them.
   std::function<std::vector<std::uint32_t>(const std::vector<UpstreamRecord>&,
                                            std::uint32_t aMax)>
     mConnectionShares;
--- a/include/wasabispar/net/connection_pool.hpp
+++ b/include/wasabispar/net/connection_pool.hpp
@@ -42,6 +42,9 @@
   /// More concurrent opens would be a storm on an upstream that restarts.
   std::size_t mMaxOpening = 2;
   Duration mOpenTimeout = std::chrono::seconds(1);
+  /// Idle connections beyond the warm ones are closed after this time, and the last used
+  /// one is used first. Zero keeps them and uses the oldest first.
+  Duration mIdleClose{};
   /// Pause after a failed open, so that a dead upstream is not flooded.
   Duration mReopenDelay = std::chrono::milliseconds(200);
   FairQueueOptions mQueue;
@@ -58,6 +61,8 @@
   std::function<void()> mOnClosed;
   /// Connections above the share.
   std::function<std::uint32_t()> mSurplus;
+  /// Connections that are kept open without traffic; empty: as in the options.
+  std::function<std::size_t()> mWarm;
   /// Most concurrent exchanges.
   std::function<std::uint32_t()> mSlotLimit;
   std::function<void()> mOnConnected;
@@ -121,6 +126,7 @@
   {
     std::shared_ptr<HttpConnection> mConnection;
     std::uint64_t mConnectionId = 0;
+    TimePoint mSince{};
   };
   struct Queued
   {
@@ -135,7 +141,8 @@
   ConnectionPoolHooks mHooks;
   Queue mQueue;
   std::unordered_map<Handle, Queue::Handle> mQueuedHandles;
-  /// Oldest use first, so that all connections are exercised and a dead one is found.
+  /// Oldest use first. Without mIdleClose the first one is used next, so that all
+  /// connections are exercised and a dead one is found.
   std::deque<Idle> mIdle;
   std::unordered_map<Handle, Running> mRunning;
   std::size_t mOpening = 0;
@@ -146,6 +153,9 @@
   void Pump();
   void Enqueue(Handle aHandle, PooledRequest aRequest);
   bool HasOpenIdle();
+  void MoveNextToFront();
+  std::size_t WarmCount() const;
+  void CloseLongIdle();
   bool StartNext();
   void Start(Idle aIdle, Queued aQueued);
   void OnExchangeEnd(Handle aHandle, HttpExchangeResult aResult);
--- a/src/wasabispar/gateway/gateway.cpp
+++ b/src/wasabispar/gateway/gateway.cpp
@@ -111,8 +111,7 @@
     for (const auto& [name, pool] : mPools) {
       pool->Tick();
     }
-    mMetrics.mTraceLinesDropped.Increment(
-      static_cast<double>(mTraceLog.TakeDropped()));
+    mMetrics.mTraceLinesDropped.Increment(static_cast<double>(mTraceLog.TakeDropped()));
   });
 }
 
@@ -157,10 +156,10 @@
 {
   const auto outcome = ToText(aReason);
   mMetrics.CountRequest(outcome);
-  mTraceLog.WriteUnrouted(
-    aRequest ? aRequest->mId.Text() : std::string_view(),
-    aRequest ? aRequest->mHost : std::string_view(),
-    mRoutes ? mRoutes->Version().Value() : 0, outcome, BootClock::now());
+  mTraceLog.WriteUnrouted(aRequest ? aRequest->mId.Text() : std::string_view(),
+                          aRequest ? aRequest->mHost : std::string_view(),
+                          mRoutes ? mRoutes->Version().Value() : 0, outcome,
+                          BootClock::now());
   Refusal refusal{ aReason, {} };
   if (aReason == RefusalReason::NotConfigured) {
     refusal.mRetryAfter = std::chrono::milliseconds(200);
--- a/src/wasabispar/gateway/service_pool.cpp
+++ b/src/wasabispar/gateway/service_pool.cpp
@@ -14,12 +14,14 @@
 /// Requests that an upstream can queue per slot are not used: one exchange more than the
 /// slots keeps it busy while an answer is on its way.
 constexpr std::size_t kExchangesPerSlot = 2;
+/// With at least so many connections for each VM, half of them can stay open.
+constexpr std::uint32_t kAmpleShare = 2;
 
 ConnectionPoolOptions
 PoolOptions()
 {
   ConnectionPoolOptions options;
-  options.mWarm = 1;
+  options.mIdleClose = std::chrono::seconds(2);
   options.mMaxOpening = 2;
   options.mOpenTimeout = std::chrono::milliseconds(400);
   options.mReopenDelay = std::chrono::milliseconds(250);
@@ -58,13 +60,17 @@
   for (const auto& replica : mReplicas) {
     records.push_back(replica->mRecord);
   }
-  const auto shares =
-    mOptions.mConnectionShares
-      ? mOptions.mConnectionShares(records, mMaxConnections)
-      : std::vector<std::uint32_t>(records.size(), mMaxConnections);
+  const auto shares = mOptions.mConnectionShares
+                        ? mOptions.mConnectionShares(records, mMaxConnections)
+                        : std::vector<std::uint32_t>(records.size(), mMaxConnections);
   for (std::size_t i = 0; i < mReplicas.size(); ++i) {
     const std::size_t slots = std::max<std::uint32_t>(1, records[i].mSlots);
-    mReplicas[i]->mLimit = std::min<std::size_t>(shares[i], slots * kExchangesPerSlot);
+    auto& replica = *mReplicas[i];
+    replica.mLimit = std::min<std::size_t>(shares[i], slots * kExchangesPerSlot);
+    // After a loss of power the upstream still counts the connections of the VMs that
+    // are gone. Half of its limit has to suffice for the new ones, so scarce connections
+    // to another region are opened on demand.
+    replica.mWarm = replica.mIsRemote && shares[i] < kAmpleShare ? 0 : 1;
   }
 }
 
@@ -130,6 +136,10 @@
     const auto self = weak.lock();
     return self ? static_cast<std::uint32_t>(self->mLimit) : 0;
   };
+  hooks.mWarm = [weak]() -> std::size_t {
+    const auto self = weak.lock();
+    return self ? std::min(self->mWarm, self->mLimit) : 0;
+  };
   hooks.mOnConnected = [weak] {
     if (const auto self = weak.lock()) {
       self->mLoad.OnConnected();
--- a/src/wasabispar/net/connection_pool.cpp
+++ b/src/wasabispar/net/connection_pool.cpp
@@ -3,6 +3,7 @@
 #include "wasabispar/net/connection_pool.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 #include <vector>
 
@@ -95,11 +96,39 @@
          mRunning.size() + ready < limit && mHooks.mNow() >= mReopenAt;
 }
 
+/// Puts the connection that is to be used next to the front.
+void
+ConnectionPool::MoveNextToFront()
+{
+  if (mOptions.mIdleClose > Duration{}) {
+    std::rotate(mIdle.begin(), std::prev(mIdle.end()), mIdle.end());
+  }
+}
+
+std::size_t
+ConnectionPool::WarmCount() const
+{
+  return mHooks.mWarm ? mHooks.mWarm() : mOptions.mWarm;
+}
+
+void
+ConnectionPool::CloseLongIdle()
+{
+  if (mOptions.mIdleClose == Duration{}) {
+    return;
+  }
+  const auto oldest = mHooks.mNow() - mOptions.mIdleClose;
+  while (!mIdle.empty() && Connections() > WarmCount() && mIdle.front().mSince < oldest) {
+    CloseIdle(1);
+  }
+}
+
 /// Closes idle connections from the front until one is open; false when none is left.
 bool
 ConnectionPool::HasOpenIdle()
 {
   while (!mIdle.empty()) {
+    MoveNextToFront();
     if (mIdle.front().mConnection->CheckIdle()) {
       return true;
     }
@@ -176,7 +205,7 @@
   const bool isForeign = aResult.mEnd == HttpExchangeEnd::Response && running.mMayReuse &&
                          !running.mMayReuse(aResult.mResponse);
   if (running.mConnection->IsUsable() && !mIsStopped && !isForeign) {
-    mIdle.push_back({ running.mConnection, running.mConnectionId });
+    mIdle.push_back({ running.mConnection, running.mConnectionId, mHooks.mNow() });
   } else {
     running.mConnection->Close();
     mHooks.mOnClosed();
@@ -197,7 +226,7 @@
 ConnectionPool::OpenOne()
 {
   ++mOpening;
-  Idle idle{ HttpConnection::Create(mContext, mEndpoint), mNextConnection++ };
+  Idle idle{ HttpConnection::Create(mContext, mEndpoint), mNextConnection++, {} };
   const auto connection = idle.mConnection;
   connection->Open(
     mOptions.mOpenTimeout,
@@ -213,6 +242,7 @@
 {
   --mOpening;
   if (aOpened && !mIsStopped) {
+    aIdle.mSince = mHooks.mNow();
     mIdle.push_back(std::move(aIdle));
     mHooks.mOnConnected();
     Pump();
@@ -308,7 +338,8 @@
   CloseIdle(mHooks.mSurplus());
   DropExpired();
   DropClosedIdle();
-  if (Connections() < mOptions.mWarm && mOpening == 0 && mHooks.mNow() >= mReopenAt &&
+  CloseLongIdle();
+  if (Connections() < WarmCount() && mOpening == 0 && mHooks.mNow() >= mReopenAt &&
       mHooks.mTryOpen()) {
     OpenOne();
   }
--- /dev/null
+++ b/src/wasabispar/net/connection_pool_test.cpp
@@ -0,0 +1,140 @@
+/// @file
+/// @brief Tests of which connections a pool keeps open.
+#include "wasabispar/net/connection_pool.hpp"
+
+#include "wasabispar/net/http_server.hpp"
+#include "wasabispar/net/worker.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <doctest/doctest.h>
+
+#include <future>
+#include <thread>
+
+using namespace wasabispar;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A pool to a server on loopback that answers after 20 ms.
+class Fixture
+{
+public:
+  Worker mWorker;
+  HttpServer mServer;
+  std::shared_ptr<ConnectionPool> mPool;
+  std::uint32_t mCounted = 0;
+  std::vector<Subscription> mTimers;
+
+  Fixture()
+    : mServer({ &mWorker.Context() }, {},
+              [this](const HttpRequest&, const HttpRespondFn& aRespond) {
+                mTimers.push_back(
+                  mWorker.Timers().After(20ms, [aRespond] { aRespond({}); }));
+              })
+  {
+    HandleError(
+      [this]() -> Result<bool> {
+        BOOST_LEAF_CHECK(mServer.Start());
+        return true;
+      },
+      [](const Error&) { return false; });
+  }
+
+  ~Fixture()
+  {
+    OnWorker([this] { mPool->Stop(); });
+    mWorker.Stop();
+  }
+
+  void Create(Duration aIdleClose, std::size_t aWarm)
+  {
+    ConnectionPoolOptions options;
+    options.mIdleClose = aIdleClose;
+    ConnectionPoolHooks hooks;
+    hooks.mNow = [] { return BootClock::now(); };
+    hooks.mTryOpen = [this] { return ++mCounted > 0; };
+    hooks.mOnClosed = [this] { --mCounted; };
+    hooks.mSurplus = [] { return 0U; };
+    hooks.mSlotLimit = [] { return 4U; };
+    hooks.mWarm = [aWarm] { return aWarm; };
+    hooks.mOnConnected = [] {};
+    hooks.mOnConnectFailed = [] {};
+    mPool = std::make_shared<ConnectionPool>(mWorker.Context(),
+                                             Endpoint{ "127.0.0.1", mServer.Port() },
+                                             options, std::move(hooks));
+  }
+
+  void OnWorker(const std::function<void()>& aFn)
+  {
+    std::promise<void> done;
+    mWorker.Post([&] {
+      aFn();
+      done.set_value();
+    });
+    done.get_future().wait();
+  }
+
+  /// Runs @p aCount exchanges at the same time and waits for their ends.
+  void Run(std::size_t aCount, ConnectionPool::Handle aFirst)
+  {
+    std::vector<std::promise<HttpExchangeEnd>> ends(aCount);
+    OnWorker([&] {
+      for (std::size_t i = 0; i < aCount; ++i) {
+        PooledRequest request;
+        request.mDeadline = BootClock::now() + 2s;
+        request.mDone = [&end = ends[i]](const HttpExchangeResult& aResult, bool) {
+          end.set_value(aResult.mEnd);
+        };
+        mPool->Submit(aFirst + i, std::move(request));
+      }
+    });
+    for (auto& end : ends) {
+      CHECK(end.get_future().get() == HttpExchangeEnd::Response);
+    }
+  }
+
+  std::size_t Open()
+  {
+    std::size_t open = 0;
+    OnWorker([&] {
+      mPool->Tick();
+      open = mPool->Status().mOpen;
+    });
+    return open;
+  }
+};
+
+} // namespace
+
+/// After a loss of power an upstream still counts the connections of the VMs that are
+/// gone: those that are not needed must not be open then.
+TEST_CASE_FIXTURE(Fixture, "idle connections beyond the warm ones are closed")
+{
+  Create(150ms, 1);
+  Run(4, 1);
+  CHECK(Open() > 1);
+  for (ConnectionPool::Handle handle = 100; handle < 112; ++handle) {
+    Run(1, handle);
+  }
+  CHECK(Open() == 1);
+  CHECK(mCounted == 1);
+}
+
+TEST_CASE_FIXTURE(Fixture, "without a limit on idleness connections stay open")
+{
+  Create(0ms, 1);
+  Run(4, 1);
+  const auto open = Open();
+  std::this_thread::sleep_for(250ms);
+  CHECK(Open() == open);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a pool without warm connections opens them on demand")
+{
+  Create(50ms, 0);
+  CHECK(Open() == 0);
+  Run(1, 1);
+  std::this_thread::sleep_for(120ms);
+  CHECK(Open() == 0);
+}
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -229,8 +229,8 @@
     UpstreamRecord record;
     record.mId = UpstreamId(aId);
     record.mService = ServiceName(aService);
-    record.mAddress = UpstreamAddress(
-      "127.0.0.1:" + std::to_string(listener->local_endpoint().port()));
+    record.mAddress =
+      UpstreamAddress("127.0.0.1:" + std::to_string(listener->local_endpoint().port()));
     record.mSlots = 2;
     mFullListeners.push_back(std::move(listener));
     mGateway->OnUpstreamChanges({ { UpstreamChange::Kind::Added, record } });
