--- a/include/wasabispar/base/clock.hpp
+++ b/include/wasabispar/base/clock.hpp
@@ -41,6 +41,14 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count();
 }
 
+/// @brief @p aDuration in whole microseconds, rounded down.
+constexpr std::uint64_t
+ToMicroseconds(Duration aDuration)
+{
+  return static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::microseconds>(aDuration).count());
+}
+
 /// @brief @p aDuration in milliseconds with fraction.
 constexpr double
 ToMillisecondsF(Duration aDuration)
--- a/src/wasabispar/gateway/request_run.cpp
+++ b/src/wasabispar/gateway/request_run.cpp
@@ -20,13 +20,6 @@
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(50);
 constexpr Duration kMaxRetryAfter = std::chrono::seconds(1);
 
-std::uint64_t
-Microseconds(Duration aDuration)
-{
-  return static_cast<std::uint64_t>(
-    std::chrono::duration_cast<std::chrono::microseconds>(aDuration).count());
-}
-
 Duration
 TimeAllowed(const CallerRequest& aRequest, const Route& aRoute)
 {
@@ -96,7 +89,7 @@
     const auto expected = pool.BestExpected({}, aNow);
     const auto wait = pool.ExpectedWait(mRoute.mPriority, mGather.AnswerBy(), aNow);
     if (!expected || aNow + wait >= mGather.Deadline()) {
-      mTrace.Add(TraceStep::PartGivenUp, i, {}, Microseconds(wait), aNow);
+      mTrace.Add(TraceStep::PartGivenUp, i, {}, ToMicroseconds(wait), aNow);
       mGather.OnLost(i);
     }
   }
@@ -187,7 +180,7 @@
   auto& metrics = mGateway.mMetrics;
   const auto exchange = mGateway.mNextExchange++;
   const auto expected = aReplica->mLoad.Expected(now);
-  mTrace.Add(aStep, aPart, aReplica->mRecord.mId, Microseconds(expected), now);
+  mTrace.Add(aStep, aPart, aReplica->mRecord.mId, ToMicroseconds(expected), now);
   (aStep == TraceStep::Sent     ? metrics.mSentFirst
    : aStep == TraceStep::Hedged ? metrics.mSentHedge
                                 : metrics.mSentRetry)
@@ -280,7 +273,7 @@
   const auto end = Classify(part, exchange, std::move(aResult), aMayHaveLeft, now);
   mGateway.mMetrics.CountReply(end);
   mTrace.Add(end, aPart, exchange.mReplica->mRecord.mId,
-             Microseconds(now - exchange.mSent), now);
+             ToMicroseconds(now - exchange.mSent), now);
   if (!mIsFinished && mGather.IsOpen(aPart)) {
     if (end == TraceStep::Answered) {
       LeaveQueue(part);
--- a/src/wasabispar/gateway/request_trace.cpp
+++ b/src/wasabispar/gateway/request_trace.cpp
@@ -16,13 +16,6 @@
 constexpr double kLinesPerSecond = 80;
 constexpr double kMaxLines = 400;
 
-std::uint64_t
-Microseconds(Duration aDuration)
-{
-  return static_cast<std::uint64_t>(
-    std::chrono::duration_cast<std::chrono::microseconds>(aDuration).count());
-}
-
 } // namespace
 
 std::string_view
@@ -87,7 +80,7 @@
                  { "step", ToText(entry.mStep) },
                  { "part", std::uint64_t{ entry.mPart } },
                  { "upstream", entry.mUpstream.Text() },
-                 { "at_us", Microseconds(entry.mAge) },
+                 { "at_us", ToMicroseconds(entry.mAge) },
                  { "figure", entry.mFigure } });
     }
   }
@@ -100,7 +93,7 @@
              { "parts", aEnd.mParts },
              { "answered", aEnd.mAnswered },
              { "steps_omitted", aTrace.Omitted() },
-             { "took_us", Microseconds(age) } });
+             { "took_us", ToMicroseconds(age) } });
 }
 
 void
