--- a/include/wasabispar/net/connection_pool.hpp
+++ b/include/wasabispar/net/connection_pool.hpp
@@ -108,6 +108,9 @@
   void Tick();
   /// @brief Closes all connections; queued and running requests end.
   void Stop();
+  /// @brief Closes all connections and drops queued and running requests without a call
+  /// of mDone, for an owner that goes away while its requests refer to the pool.
+  void Discard();
 
   ConnectionPoolStatus Status() const;
 
--- a/src/wasabispar/gateway/service_pool.cpp
+++ b/src/wasabispar/gateway/service_pool.cpp
@@ -44,7 +44,13 @@
 {
 }
 
-ServicePool::~ServicePool() = default;
+ServicePool::~ServicePool()
+{
+  // A running exchange refers to its request, which refers to the replica and its pool.
+  for (const auto& replica : mReplicas) {
+    replica->mPool->Discard();
+  }
+}
 
 void
 ServicePool::SetMaxConnections(std::uint32_t aMax)
--- a/src/wasabispar/net/connection_pool.cpp
+++ b/src/wasabispar/net/connection_pool.cpp
@@ -357,6 +357,18 @@
   }
 }
 
+void
+ConnectionPool::Discard()
+{
+  mIsStopped = true;
+  mQueuedHandles.clear();
+  mQueue.Clear();
+  CloseIdle(mIdle.size());
+  for (const auto& [handle, running] : std::exchange(mRunning, {})) {
+    running.mConnection->Close();
+  }
+}
+
 void
 ConnectionPool::EndUnsent(PooledRequest aRequest, HttpExchangeEnd aEnd,
                           std::string aCause)
