--- a/tests/failure/daemon_process_test.cpp
+++ b/tests/failure/daemon_process_test.cpp
@@ -128,6 +128,7 @@
     ExecutionReply second;
     ExecutionReply third;
     auto& paused = system.Vm(0).Process();
+    INFO(paused.Describe());
     const std::chrono::microseconds before(random() % 20000);
     const std::chrono::milliseconds pause(100 + random() % 1200);
     std::thread sender([&] { first = Execute(system.Vm(0).Caller(), ticket, id); });
--- a/tests/harness/child_process.cpp
+++ b/tests/harness/child_process.cpp
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 #include <iterator>
 #include <sstream>
@@ -37,11 +38,29 @@
   _exit(127);
 }
 
+/// The descriptor to append to @p aPath, -1 when it is empty.
+int
+OpenLog(const std::string& aPath)
+{
+  return aPath.empty()
+           ? -1
+           : open(aPath.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+}
+
+/// One line of a file in /proc; empty when it can't be read.
+std::string
+FirstLine(const std::filesystem::path& aPath)
+{
+  std::ifstream file(aPath);
+  std::string line;
+  std::getline(file, line);
+  return line;
+}
+
 } // namespace
 
 ChildProcess::ChildProcess(const std::string& aProgram,
-                           std::vector<std::string> aArguments,
-                           const std::string& aLogPath)
+                           std::vector<std::string> aArguments, const ChildLogs& aLogs)
   : mProgram(aProgram)
 {
   const std::string path = std::string(WASABISPAR_BINARY_DIR) + "/" + aProgram;
@@ -57,17 +76,17 @@
   if (pipe2(ends, O_CLOEXEC) != 0) {
     throw std::runtime_error("pipe failed");
   }
-  const int errors =
-    aLogPath.empty()
-      ? -1
-      : open(aLogPath.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+  const int errors = OpenLog(aLogs.mErrors);
+  const int output = OpenLog(aLogs.mOutput);
   mId = fork();
   if (mId == 0) {
-    RunChild(path.c_str(), arguments.data(), ends[1], errors);
+    RunChild(path.c_str(), arguments.data(), output >= 0 ? output : ends[1], errors);
   }
   close(ends[1]);
-  if (errors >= 0) {
-    close(errors);
+  for (const int file : { errors, output }) {
+    if (file >= 0) {
+      close(file);
+    }
   }
   mOutput = ends[0];
   if (mId < 0) {
@@ -145,6 +164,26 @@
   return mEnd;
 }
 
+std::string
+ChildProcess::Describe()
+{
+  namespace fs = std::filesystem;
+  std::ostringstream text;
+  text << mProgram << " (" << mId << ") ";
+  if (!IsRunning()) {
+    text << "ended, status " << mEnd->mExitStatus.value_or(-1) << ", signal "
+         << mEnd->mSignal.value_or(0);
+    return text.str();
+  }
+  std::error_code ignored;
+  const fs::path tasks = "/proc/" + std::to_string(mId) + "/task";
+  for (const auto& task : fs::directory_iterator(tasks, ignored)) {
+    text << "\n  " << FirstLine(task.path() / "stat") << " in "
+         << FirstLine(task.path() / "wchan");
+  }
+  return text.str();
+}
+
 std::chrono::milliseconds
 ChildProcess::CpuTime() const
 {
--- a/tests/harness/child_process.hpp
+++ b/tests/harness/child_process.hpp
@@ -20,6 +20,15 @@
   std::optional<int> mSignal;
 };
 
+/// @brief Files that take a child's output, each opened to append.
+struct ChildLogs
+{
+  /// Standard error; empty: this process's.
+  std::string mErrors;
+  /// Standard output; empty: ReadStartLine() reads it.
+  std::string mOutput;
+};
+
 /// @brief One child process. The destructor kills it by its id and waits for it. The
 /// kernel kills it too when the thread that started it ends.
 ///
@@ -28,9 +37,8 @@
 {
 public:
   /// @brief Starts @p aProgram, a file name in the build directory, with @p aArguments.
-  /// Its standard error goes to @p aLogPath, or to this process's when empty.
   ChildProcess(const std::string& aProgram, std::vector<std::string> aArguments,
-               const std::string& aLogPath = {});
+               const ChildLogs& aLogs = {});
   ~ChildProcess();
   ChildProcess(const ChildProcess&) = delete;
   ChildProcess& operator=(const ChildProcess&) = delete;
@@ -43,6 +51,9 @@
   /// @brief Waits for the end; empty when it does not end in time.
   std::optional<ProcessEnd> WaitForEnd(std::chrono::milliseconds aTimeout);
   bool IsRunning();
+  /// @brief What the kernel says of the process and each of its threads, for the message
+  /// of a failed test: how it ended, or what each thread does.
+  std::string Describe();
   /// @brief CPU time used so far, user and system, from /proc.
   std::chrono::milliseconds CpuTime() const;
 
--- a/tests/harness/standin_control.cpp
+++ b/tests/harness/standin_control.cpp
@@ -77,7 +77,7 @@
 
 UpstreamProcess::UpstreamProcess(UpstreamSpec aSpec, const std::string& aLogPath)
   : mSpec(std::move(aSpec))
-  , mProcess("standin_upstream", UpstreamFlags(mSpec), aLogPath)
+  , mProcess("standin_upstream", UpstreamFlags(mSpec), ChildLogs{ aLogPath, {} })
 {
   const auto started = mProcess.ReadStartLine(kStartTimeout);
   mControl = LocalPort(started, "control_port");
@@ -126,7 +126,7 @@
 }
 
 PlatformProcess::PlatformProcess(const std::string& aLogPath)
-  : mProcess("standin_platform", {}, aLogPath)
+  : mProcess("standin_platform", {}, ChildLogs{ aLogPath, {} })
 {
   const auto started = mProcess.ReadStartLine(kStartTimeout);
   mAddress = LocalPort(started, "port");
--- a/tests/harness/tcp_relay.cpp
+++ b/tests/harness/tcp_relay.cpp
@@ -23,9 +23,10 @@
 class Pair : public std::enable_shared_from_this<Pair>
 {
 public:
-  Pair(asio::io_context& aContext, tcp::socket aClient)
+  Pair(asio::io_context& aContext, tcp::socket aClient, const Duration& aDelay)
     : mClient(std::move(aClient))
     , mTarget(aContext)
+    , mDelay(aDelay)
   {
   }
 
@@ -49,13 +50,23 @@
     std::exchange(mWaiting, {}).clear();
   }
 
-  void SetSilent(bool aSilent)
+  void Reset()
   {
-    mSilent = aSilent;
-    if (!aSilent) {
-      for (auto& resume : std::exchange(mWaiting, {})) {
-        resume();
-      }
+    error_code ignored;
+    const asio::socket_base::linger discard(true, 0);
+    mClient.set_option(discard, ignored);
+    mTarget.set_option(discard, ignored);
+    Close();
+  }
+
+  /// What the client sends and what comes back are silenced apart.
+  void SetSilent(bool aUp, bool aDown)
+  {
+    mSilentUp = aUp;
+    mSilentDown = aDown;
+    // What stays silenced waits again.
+    for (auto& resume : std::exchange(mWaiting, {})) {
+      resume();
     }
   }
 
@@ -67,16 +78,27 @@
     aFrom.async_read_some(
       asio::buffer(aBuffer), [self = shared_from_this(), &aFrom, &aTo,
                               &aBuffer](error_code aError, std::size_t aSize) {
-        if (self->mSilent) {
-          self->mWaiting.push_back([self, &aFrom, &aTo, &aBuffer, aError, aSize] {
-            self->Forward(aFrom, aTo, aBuffer, aError, aSize);
-          });
-        } else {
-          self->Forward(aFrom, aTo, aBuffer, aError, aSize);
-        }
+        self->Pass([self, &aFrom, &aTo, &aBuffer, aError,
+                    aSize] { self->Forward(aFrom, aTo, aBuffer, aError, aSize); },
+                   &aFrom == &self->mClient);
       });
   }
 
+  /// Runs @p aForward once the direction is neither silent nor delayed.
+  void Pass(std::function<void()> aForward, bool aIsUp)
+  {
+    if (aIsUp ? mSilentUp : mSilentDown) {
+      mWaiting.push_back(
+        [self = shared_from_this(), aForward, aIsUp] { self->Pass(aForward, aIsUp); });
+    } else if (mDelay > Duration::zero()) {
+      const auto timer = std::make_shared<asio::steady_timer>(mTarget.get_executor());
+      timer->expires_after(mDelay);
+      timer->async_wait([timer, aForward](error_code) { aForward(); });
+    } else {
+      aForward();
+    }
+  }
+
   void Forward(tcp::socket& aFrom, tcp::socket& aTo, Buffer& aBuffer, error_code aError,
                std::size_t aSize)
   {
@@ -98,7 +120,10 @@
   tcp::socket mTarget;
   Buffer mUp{};
   Buffer mDown{};
-  bool mSilent = false;
+  /// The relay's, which outlives its connections.
+  const Duration& mDelay;
+  bool mSilentUp = false;
+  bool mSilentDown = false;
   std::vector<std::function<void()>> mWaiting;
 };
 
@@ -111,10 +136,9 @@
   {
   }
 
-  void Listen(std::uint16_t aPort)
+  void Listen()
   {
-    mAcceptor.emplace(mContext,
-                      tcp::endpoint(asio::ip::make_address("127.0.0.1"), aPort));
+    mAcceptor.emplace(mContext, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
     mPort = mAcceptor->local_endpoint().port();
     Accept();
   }
@@ -126,11 +150,13 @@
         return;
       }
       std::erase_if(mPairs, [](const auto& aPair) { return aPair.expired(); });
-      const auto pair = std::make_shared<Pair>(mContext, std::move(aSocket));
-      mPairs.push_back(pair);
-      if (mMode == RelayMode::Silent) {
-        pair->SetSilent(true);
+      const auto pair = std::make_shared<Pair>(mContext, std::move(aSocket), mDelay);
+      if (mMode == RelayMode::Cut) {
+        pair->Reset();
+        return Accept();
       }
+      mPairs.push_back(pair);
+      ApplyMode(*pair);
       pair->Start(mTarget);
       Accept();
     });
@@ -138,18 +164,20 @@
 
   void Apply(RelayMode aMode)
   {
-    const auto old = std::exchange(mMode, aMode);
+    mMode = aMode;
     if (aMode == RelayMode::Cut) {
-      mAcceptor.reset();
       ForEachPair([](Pair& aPair) { aPair.Close(); });
     } else {
-      ForEachPair([&](Pair& aPair) { aPair.SetSilent(aMode == RelayMode::Silent); });
-    }
-    if (old == RelayMode::Cut && aMode != RelayMode::Cut) {
-      Listen(mPort);
+      ForEachPair([this](Pair& aPair) { ApplyMode(aPair); });
     }
   }
 
+  void ApplyMode(Pair& aPair) const
+  {
+    aPair.SetSilent(mMode == RelayMode::Silent,
+                    mMode == RelayMode::Silent || mMode == RelayMode::OneWay);
+  }
+
   template<class Function>
   void ForEachPair(Function aFunction)
   {
@@ -172,11 +200,8 @@
   }
 
   asio::io_context mContext{ 1 };
-  /// Keeps the thread running while the relay is cut and has no socket.
-  asio::executor_work_guard<asio::io_context::executor_type> mWork{
-    mContext.get_executor()
-  };
   tcp::endpoint mTarget;
+  Duration mDelay{};
   std::optional<tcp::acceptor> mAcceptor;
   std::vector<std::weak_ptr<Pair>> mPairs;
   RelayMode mMode = RelayMode::Pass;
@@ -187,7 +212,7 @@
 TcpRelay::TcpRelay(Endpoint aTarget)
   : mState(std::make_unique<State>(aTarget))
 {
-  mState->Listen(0);
+  mState->Listen();
   mState->mThread = std::thread([state = mState.get()] { state->mContext.run(); });
 }
 
@@ -214,7 +239,27 @@
 TcpRelay::SilenceOpenConnections()
 {
   mState->RunAndWait(
-    [&] { mState->ForEachPair([](Pair& aPair) { aPair.SetSilent(true); }); });
+    [&] { mState->ForEachPair([](Pair& aPair) { aPair.SetSilent(true, true); }); });
+}
+
+void
+TcpRelay::ResetOpenConnections()
+{
+  mState->RunAndWait([&] { mState->ForEachPair([](Pair& aPair) { aPair.Reset(); }); });
+}
+
+void
+TcpRelay::SetDelay(Duration aDelay)
+{
+  mState->RunAndWait([&] { mState->mDelay = aDelay; });
+}
+
+void
+TcpRelay::SetTarget(Endpoint aTarget)
+{
+  mState->RunAndWait([&] {
+    mState->mTarget = { asio::ip::make_address(aTarget.mAddress), aTarget.mPort };
+  });
 }
 
 } // namespace wasabispar::harness
--- a/tests/harness/tcp_relay.hpp
+++ b/tests/harness/tcp_relay.hpp
@@ -1,8 +1,9 @@
 /// @file
-/// @brief A TCP relay in the test's process that cuts or silences connections, to model
-/// a partition or a connection that hangs.
+/// @brief A TCP relay in the test's process that cuts, silences, delays or resets
+/// connections, to model a partition or a connection that hangs.
 #pragma once
 
+#include "wasabispar/base/clock.hpp"
 #include "wasabispar/net/http_client.hpp"
 
 #include <cstdint>
@@ -13,10 +14,12 @@
 enum class RelayMode
 {
   Pass,
-  /// Closes all connections and refuses new ones.
+  /// Closes all connections and resets new ones at once. The port stays taken.
   Cut,
   /// Accepts connections and keeps them open, but forwards nothing.
   Silent,
+  /// Forwards what the client sends, but nothing back.
+  OneWay,
 };
 
 /// @brief Forwards its own port on 127.0.0.1 to a target. Thread-safe; runs its own
@@ -36,6 +39,12 @@
   void SetMode(RelayMode aMode);
   /// @brief The connections that are open now forward nothing any more; new ones pass.
   void SilenceOpenConnections();
+  /// @brief Resets the connections that are open now; new ones pass.
+  void ResetOpenConnections();
+  /// @brief Forwards bytes @p aDelay after they came, in both directions.
+  void SetDelay(Duration aDelay);
+  /// @brief New connections go to @p aTarget.
+  void SetTarget(Endpoint aTarget);
 
   /// Implementation; defined in the source file.
   struct State;
--- a/tests/standins/connection_server.cpp
+++ b/tests/standins/connection_server.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
@@ -87,6 +88,7 @@
 
   void Silence() { mSilent = true; }
   void Write(HttpResponse aResponse);
+  void WriteRaw(std::string aBytes, bool aKeepOpen);
 
 private:
   class PendingExchange : public Exchange
@@ -108,6 +110,13 @@
         connection->Write(std::move(aResponse));
       }
     }
+    void RespondRaw(std::string aBytes, bool aKeepOpen) override
+    {
+      mGone = nullptr;
+      if (const auto connection = std::exchange(mConnection, nullptr)) {
+        connection->WriteRaw(std::move(aBytes), aKeepOpen);
+      }
+    }
     void Gone()
     {
       mConnection.reset();
@@ -242,6 +251,22 @@
     });
 }
 
+void
+Connection::WriteRaw(std::string aBytes, bool aKeepOpen)
+{
+  mPending.reset();
+  const auto bytes = std::make_shared<std::string>(std::move(aBytes));
+  asio::async_write(
+    mSocket, asio::buffer(*bytes),
+    [self = shared_from_this(), bytes, aKeepOpen](error_code aError, std::size_t) {
+      if (aError || !aKeepOpen) {
+        self->Reset();
+      } else {
+        self->Read();
+      }
+    });
+}
+
 } // namespace
 
 void
--- a/tests/standins/connection_server.hpp
+++ b/tests/standins/connection_server.hpp
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace wasabispar::standins {
 
@@ -25,6 +26,9 @@
   /// @brief Sends the response; only the first call counts. Does nothing when the
   /// connection is gone.
   virtual void Respond(HttpResponse aResponse) = 0;
+  /// @brief Sends @p aBytes as they are in place of a response. Then resets the
+  /// connection, or reads the next request if @p aKeepOpen.
+  virtual void RespondRaw(std::string aBytes, bool aKeepOpen) = 0;
   /// @brief Calls @p aFn when the peer closes the connection before the response.
   virtual void OnGone(std::function<void()> aFn) = 0;
   /// @brief When the server read the request; after a freeze later than its arrival.
