Keep connections to one alternative open where connections are scarce

In calm seconds 20 to 28% of the answers came just after 150 ms (p50 125 to 140 ms), and hedges went out early because the alternative was expected to be slow, so that budgets ran out.

Change: RegionalShares also says which connections stay open: the near ones, and as many alternatives as leave room for all near VMs to connect once more after a power loss, when the upstream still counts the connections of the VMs that are gone.

--- a/include/wasabispar/fleet/regional_share.hpp
+++ b/include/wasabispar/fleet/regional_share.hpp
@@ -24,17 +24,39 @@
   RegionId mRegion;
 };
 
-/// @brief Connections that @p aSelf may hold to each of @p aUpstreams, in their order.
-/// Each upstream accepts @p aUsable in all.
+/// @brief Connections that an upstream accepts from all VMs together.
+struct ConnectionLimits
+{
+  std::uint32_t mAccepted = 0;
+  /// The part that is shared out; the rest is for closes under way.
+  std::uint32_t mUsable = 0;
+};
+
+/// @brief What one VM may hold to one upstream.
+struct ConnectionShare
+{
+  std::uint32_t mLimit = 0;
+  /// Whether a connection stays open without traffic; otherwise it is opened on demand.
+  bool mIsKeptOpen = false;
+
+  bool operator==(const ConnectionShare&) const = default;
+};
+
+/// @brief The share of @p aSelf in the connections of each of @p aUpstreams, in their
+/// order.
 ///
 /// Each VM gets an equal share. When there are more VMs than connections, a VM gets one
 /// to each upstream of its own region and one to a single upstream elsewhere, so that it
 /// always has an alternative; the VMs of a region are spread evenly over the upstreams
 /// elsewhere. What is left goes to the others by rank. Where that is still too many, the
-/// rendezvous rank decides. The sum over all holders is at most @p aUsable if all use the
-/// same lists.
-std::vector<std::uint32_t>
+/// rendezvous rank decides. The sum over all holders is at most the usable number if all
+/// use the same lists.
+///
+/// After a loss of power an upstream still counts the connections of the VMs that are
+/// gone. So where connections are scarce, only so many are kept open to an upstream that
+/// all VMs of its region can connect once more.
+std::vector<ConnectionShare>
 RegionalShares(const VmId& aSelf, const std::vector<ShareHolder>& aHolders,
-               const std::vector<SharedUpstream>& aUpstreams, std::uint32_t aUsable);
+               const std::vector<SharedUpstream>& aUpstreams, ConnectionLimits aLimits);
 
 } // namespace wasabispar
--- a/include/wasabispar/gateway/service_pool.hpp
+++ b/include/wasabispar/gateway/service_pool.hpp
@@ -5,6 +5,7 @@
 
 #include "wasabispar/base/clock.hpp"
 #include "wasabispar/base/ids.hpp"
+#include "wasabispar/fleet/regional_share.hpp"
 #include "wasabispar/net/connection_pool.hpp"
 #include "wasabispar/routing/extra_load_window.hpp"
 #include "wasabispar/routing/placement.hpp"
@@ -56,14 +57,13 @@
 /// @brief Settings of ServicePool.
 struct ServicePoolOptions
 {
-  DataCentreId mDataCentre;
   /// Whether a data centre lies in another region than this VM.
   std::function<bool(const DataCentreId&)> mIsRemote;
   ExtraLoadOptions mExtraLoad;
-  /// Connections that this VM may hold to each upstream of a service, in their order.
-  /// Each accepts @p aMax in all. Without it this VM uses all of them.
-  std::function<std::vector<std::uint32_t>(const std::vector<UpstreamRecord>&,
-                                           std::uint32_t aMax)>
+  /// The share of this VM in the connections of each upstream of a service, in their
+  /// order. Each accepts @p aMax in all. Without it this VM uses all of them.
+  std::function<std::vector<ConnectionShare>(const std::vector<UpstreamRecord>&,
+                                             std::uint32_t aMax)>
     mConnectionShares;
 };
 
--- a/src/wasabispar/fleet/regional_share.cpp
+++ b/src/wasabispar/fleet/regional_share.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+/// With at least so many connections for each VM, half of them can stay open.
+constexpr std::uint32_t kAmpleShare = 2;
+
 /// The holders by rendezvous rank for the service, best first.
 std::vector<ShareHolder>
 Ranked(std::vector<ShareHolder> aHolders, const std::vector<SharedUpstream>& aUpstreams)
@@ -51,10 +54,17 @@
 class Distribution
 {
 public:
-  Distribution(const std::vector<SharedUpstream>& aUpstreams, std::uint32_t aUsable)
+  Distribution(const std::vector<SharedUpstream>& aUpstreams,
+               const std::vector<ShareHolder>& aHolders, ConnectionLimits aLimits)
     : mUpstreams(aUpstreams)
-    , mLeft(aUpstreams.size(), aUsable)
+    , mLeft(aUpstreams.size(), aLimits.mUsable)
   {
+    for (const auto& upstream : aUpstreams) {
+      const auto near = static_cast<std::uint32_t>(
+        std::ranges::count(aHolders, upstream.mRegion, &ShareHolder::mRegion));
+      const auto open = aLimits.mAccepted - std::min(near, aLimits.mAccepted);
+      mLeastLeft.push_back(aLimits.mUsable - std::min(open, aLimits.mUsable));
+    }
   }
 
   /// Whether the holder gets a connection to the upstream at @p aPosition.
@@ -67,23 +77,31 @@
     return true;
   }
 
+  /// Whether the connection that was taken last may stay open.
+  bool MayStayOpen(std::size_t aPosition) const
+  {
+    return mLeft[aPosition] >= mLeastLeft[aPosition];
+  }
+
   const std::vector<SharedUpstream>& Upstreams() const { return mUpstreams; }
 
 private:
   const std::vector<SharedUpstream>& mUpstreams;
   std::vector<std::uint32_t> mLeft;
+  /// As many must not be kept open, so that all near VMs can connect once more.
+  std::vector<std::uint32_t> mLeastLeft;
 };
 
 void
 GiveNear(Distribution& aDistribution, const std::vector<ShareHolder>& aRanked,
-         const VmId& aSelf, std::vector<std::uint32_t>& aShares)
+         const VmId& aSelf, std::vector<ConnectionShare>& aShares)
 {
   const auto& upstreams = aDistribution.Upstreams();
   for (const auto& holder : aRanked) {
     for (std::size_t i = 0; i < upstreams.size(); ++i) {
       if (upstreams[i].mRegion == holder.mRegion && aDistribution.Take(i) &&
           holder.mVm == aSelf) {
-        aShares[i] = 1;
+        aShares[i] = { 1, true };
       }
     }
   }
@@ -91,7 +109,7 @@
 
 void
 GiveAlternatives(Distribution& aDistribution, const std::vector<ShareHolder>& aRanked,
-                 const VmId& aSelf, std::vector<std::uint32_t>& aShares)
+                 const VmId& aSelf, std::vector<ConnectionShare>& aShares)
 {
   std::map<RegionId, std::size_t> rankInRegion;
   std::map<RegionId, std::vector<std::size_t>> elsewhere;
@@ -106,7 +124,7 @@
     const auto rank = rankInRegion[holder.mRegion]++;
     const auto position = positions[rank % positions.size()];
     if (aDistribution.Take(position) && holder.mVm == aSelf) {
-      aShares[position] = 1;
+      aShares[position] = { 1, aDistribution.MayStayOpen(position) };
     }
   }
 }
@@ -114,7 +132,7 @@
 /// What is left goes to VMs that do not have the upstream yet, by rank.
 void
 GiveRest(Distribution& aDistribution, const std::vector<ShareHolder>& aRanked,
-         const VmId& aSelf, std::vector<std::uint32_t>& aShares)
+         const VmId& aSelf, std::vector<ConnectionShare>& aShares)
 {
   const auto& upstreams = aDistribution.Upstreams();
   for (std::size_t i = 0; i < upstreams.size(); ++i) {
@@ -125,7 +143,7 @@
       const bool hasIt =
         upstreams[i].mRegion == holder.mRegion || positions[rank % positions.size()] == i;
       if (!hasIt && aDistribution.Take(i) && holder.mVm == aSelf) {
-        aShares[i] = 1;
+        aShares[i] = { 1, false };
       }
     }
   }
@@ -133,22 +151,23 @@
 
 } // namespace
 
-std::vector<std::uint32_t>
+std::vector<ConnectionShare>
 RegionalShares(const VmId& aSelf, const std::vector<ShareHolder>& aHolders,
-               const std::vector<SharedUpstream>& aUpstreams, std::uint32_t aUsable)
+               const std::vector<SharedUpstream>& aUpstreams, ConnectionLimits aLimits)
 {
+  std::vector<ConnectionShare> shares(aUpstreams.size());
   const bool isHolder =
     std::ranges::find(aHolders, aSelf, &ShareHolder::mVm) != aHolders.end();
   if (!isHolder) {
-    return std::vector<std::uint32_t>(aUpstreams.size(), 0);
+    return shares;
   }
-  const auto equal = aUsable / static_cast<std::uint32_t>(aHolders.size());
-  std::vector<std::uint32_t> shares(aUpstreams.size(), equal);
-  if (equal > 0) {
+  const auto equal = aLimits.mUsable / static_cast<std::uint32_t>(aHolders.size());
+  if (equal >= kAmpleShare) {
+    std::ranges::fill(shares, ConnectionShare{ equal, true });
     return shares;
   }
   const auto ranked = Ranked(aHolders, aUpstreams);
-  Distribution distribution(aUpstreams, aUsable);
+  Distribution distribution(aUpstreams, aHolders, aLimits);
   GiveNear(distribution, ranked, aSelf, shares);
   GiveAlternatives(distribution, ranked, aSelf, shares);
   GiveRest(distribution, ranked, aSelf, shares);
--- a/src/wasabispar/fleet/regional_share_test.cpp
+++ b/src/wasabispar/fleet/regional_share_test.cpp
@@ -6,8 +6,6 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
-#include <numeric>
-
 using namespace wasabispar;
 
 namespace {
@@ -36,15 +34,31 @@
   return upstreams;
 }
 
-/// The sum of the shares of each upstream.
-std::vector<std::uint32_t>
+/// A tenth is left for closes under way.
+ConnectionLimits
+Limits(std::uint32_t aUsable)
+{
+  return { aUsable + aUsable / 10, aUsable };
+}
+
+/// The sums over all holders for one upstream.
+struct ShareSum
+{
+  std::uint32_t mLimit = 0;
+  std::uint32_t mKeptOpen = 0;
+};
+
+std::vector<ShareSum>
 Sums(const std::vector<ShareHolder>& aHolders,
-     const std::vector<SharedUpstream>& aUpstreams, std::uint32_t aUsable)
+     const std::vector<SharedUpstream>& aUpstreams, ConnectionLimits aLimits)
 {
-  std::vector<std::uint32_t> sums(aUpstreams.size(), 0);
+  std::vector<ShareSum> sums(aUpstreams.size());
   for (const auto& holder : aHolders) {
-    const auto shares = RegionalShares(holder.mVm, aHolders, aUpstreams, aUsable);
-    std::transform(sums.begin(), sums.end(), shares.begin(), sums.begin(), std::plus<>());
+    const auto shares = RegionalShares(holder.mVm, aHolders, aUpstreams, aLimits);
+    for (std::size_t i = 0; i < shares.size(); ++i) {
+      sums[i].mLimit += shares[i].mLimit;
+      sums[i].mKeptOpen += shares[i].mIsKeptOpen ? 1 : 0;
+    }
   }
   return sums;
 }
@@ -54,9 +68,9 @@
 TEST_CASE("few VMs share equally")
 {
   const auto holders = Holders({ 4, 2, 3 });
-  const std::vector<std::uint32_t> two(3, 2);
-  CHECK(RegionalShares(VmId("vm0"), holders, OneInEach(3), 24) == two);
-  CHECK(RegionalShares(VmId("vm8"), holders, OneInEach(3), 24) == two);
+  const std::vector<ConnectionShare> two(3, { 2, true });
+  CHECK(RegionalShares(VmId("vm0"), holders, OneInEach(3), Limits(24)) == two);
+  CHECK(RegionalShares(VmId("vm8"), holders, OneInEach(3), Limits(24)) == two);
 }
 
 /// 84 VMs, 67 usable connections: without an alternative a pause of the own region's
@@ -66,29 +80,48 @@
   const auto holders = Holders({ 29, 26, 29 });
   const auto upstreams = OneInEach(3);
   for (const auto& holder : holders) {
-    const auto shares = RegionalShares(holder.mVm, holders, upstreams, 67);
+    const auto shares = RegionalShares(holder.mVm, holders, upstreams, Limits(67));
     std::uint32_t sum = 0;
     for (std::size_t i = 0; i < shares.size(); ++i) {
-      sum += shares[i];
+      sum += shares[i].mLimit;
       if (upstreams[i].mRegion == holder.mRegion) {
-        CHECK(shares[i] == 1);
+        CHECK(shares[i] == ConnectionShare{ 1, true });
       }
     }
     CHECK(sum >= 2);
   }
-  for (const auto sum : Sums(holders, upstreams, 67)) {
-    CHECK(sum == 67);
+  for (const auto& sum : Sums(holders, upstreams, Limits(67))) {
+    CHECK(sum.mLimit == 67);
+  }
+}
+
+/// 79 VMs in three regions 40 ms apart, 72 connections to each upstream: a part whose
+/// upstream pauses is in time only if the connection to another one is open already.
+TEST_CASE("most VMs keep an alternative open, and all can reconnect after a power loss")
+{
+  const std::vector<std::size_t> sizes{ 27, 26, 26 };
+  const auto holders = Holders(sizes);
+  constexpr std::uint32_t kAccepted = 72;
+  const auto sums = Sums(holders, OneInEach(3), { kAccepted, 65 });
+  std::uint32_t alternatives = 0;
+  for (std::size_t region = 0; region < sizes.size(); ++region) {
+    const auto near = static_cast<std::uint32_t>(sizes[region]);
+    CHECK(sums[region].mKeptOpen + near <= kAccepted);
+    alternatives += sums[region].mKeptOpen - near;
   }
+  CHECK(alternatives >= holders.size() / 2);
 }
 
 TEST_CASE("with more near VMs than connections the others get none")
 {
-  CHECK(Sums(Holders({ 40, 10 }), OneInEach(1), 30).at(0) == 30);
+  CHECK(Sums(Holders({ 40, 10 }), OneInEach(1), Limits(30)).at(0).mLimit == 30);
 }
 
 TEST_CASE("a VM that is not among the holders gets none")
 {
-  CHECK(RegionalShares(VmId("other"), Holders({ 3 }), OneInEach(1), 30).at(0) == 0);
+  const auto shares =
+    RegionalShares(VmId("other"), Holders({ 3 }), OneInEach(1), Limits(30));
+  CHECK(shares.at(0) == ConnectionShare{});
 }
 
 TEST_CASE("the shares never exceed what an upstream accepts")
@@ -98,8 +131,8 @@
       3, rc::gen::inRange<std::size_t>(0, 40));
     const auto usable = *rc::gen::inRange<std::uint32_t>(0, 120);
     const auto regions = *rc::gen::inRange<std::size_t>(1, 4);
-    for (const auto sum : Sums(Holders(sizes), OneInEach(regions), usable)) {
-      RC_ASSERT(sum <= usable);
+    for (const auto& sum : Sums(Holders(sizes), OneInEach(regions), Limits(usable))) {
+      RC_ASSERT(sum.mLimit <= usable);
     }
   });
 }
--- a/src/wasabispar/gateway/service_pool.cpp
+++ b/src/wasabispar/gateway/service_pool.cpp
@@ -14,8 +14,6 @@
 /// Requests that an upstream can queue per slot are not used: one exchange more than the
 /// slots keeps it busy while an answer is on its way.
 constexpr std::size_t kExchangesPerSlot = 2;
-/// With at least so many connections for each VM, half of them can stay open.
-constexpr std::uint32_t kAmpleShare = 2;
 
 ConnectionPoolOptions
 PoolOptions()
@@ -66,17 +64,15 @@
   for (const auto& replica : mReplicas) {
     records.push_back(replica->mRecord);
   }
-  const auto shares = mOptions.mConnectionShares
-                        ? mOptions.mConnectionShares(records, mMaxConnections)
-                        : std::vector<std::uint32_t>(records.size(), mMaxConnections);
+  const auto shares =
+    mOptions.mConnectionShares
+      ? mOptions.mConnectionShares(records, mMaxConnections)
+      : std::vector<ConnectionShare>(records.size(), { mMaxConnections, true });
   for (std::size_t i = 0; i < mReplicas.size(); ++i) {
     const std::size_t slots = std::max<std::uint32_t>(1, records[i].mSlots);
     auto& replica = *mReplicas[i];
-    replica.mLimit = std::min<std::size_t>(shares[i], slots * kExchangesPerSlot);
-    // After a loss of power the upstream still counts the connections of the VMs that
-    // are gone. Half of its limit has to suffice for the new ones, so scarce connections
-    // to another region are opened on demand.
-    replica.mWarm = replica.mIsRemote && shares[i] < kAmpleShare ? 0 : 1;
+    replica.mLimit = std::min<std::size_t>(shares[i].mLimit, slots * kExchangesPerSlot);
+    replica.mWarm = shares[i].mIsKeptOpen ? 1 : 0;
   }
 }
 
