--- a/include/wasabispar/gateway/gateway.hpp
+++ b/include/wasabispar/gateway/gateway.hpp
@@ -25,8 +25,9 @@
 struct GatewayOptions
 {
   ServicePoolOptions mPools;
-  /// Part of the objective that is spent on the way to and from the caller.
-  Duration mCallerMargin = std::chrono::milliseconds(22);
+  /// Part of the objective that is spent on the way to and from the caller, which
+  /// includes the wait of a small VM for its processor: a fifth, up to this time.
+  Duration mMaxCallerMargin = std::chrono::milliseconds(30);
 };
 
 /// @brief Counters and histograms of the gateway.
--- a/src/wasabispar/gateway/request_run.cpp
+++ b/src/wasabispar/gateway/request_run.cpp
@@ -17,6 +17,8 @@
 constexpr Duration kReapDelay = std::chrono::milliseconds(300);
 /// Time for the final answer to reach the caller before it stops waiting.
 constexpr Duration kDeadlineMargin = std::chrono::milliseconds(15);
+/// Divisor of the objective that gives the margin of a short one.
+constexpr int kCallerMarginShare = 5;
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(50);
 constexpr Duration kMaxRetryAfter = std::chrono::seconds(1);
 
@@ -31,11 +33,12 @@
 
 Gather
 MakeGather(const CallerRequest& aRequest, const Route& aRoute, std::size_t aParts,
-           Duration aCallerMargin, TimePoint aNow)
+           Duration aMaxCallerMargin, TimePoint aNow)
 {
   const auto* fanOut = std::get_if<FanOutTarget>(&aRoute.mTarget);
   return { aParts, fanOut ? fanOut->RequiredShards() : 1,
-           aNow + aRoute.mObjective - aCallerMargin,
+           aNow + aRoute.mObjective -
+             std::min(aMaxCallerMargin, aRoute.mObjective / kCallerMarginShare),
            aNow + TimeAllowed(aRequest, aRoute) };
 }
 
@@ -53,7 +56,7 @@
   , mTrace(aNow)
   , mParts(aServices.size())
   , mGather(MakeGather(mRequest, aRoute, aServices.size(),
-                       aGateway.mOptions.mCallerMargin, aNow))
+                       aGateway.mOptions.mMaxCallerMargin, aNow))
 {
   for (std::size_t i = 0; i < aServices.size(); ++i) {
     mParts[i].mPool = &mGateway.PoolOf(aServices[i]);
