--- a/include/wasabispar/gateway/gateway.hpp
+++ b/include/wasabispar/gateway/gateway.hpp
@@ -26,7 +26,7 @@
 {
   ServicePoolOptions mPools;
   /// Part of the objective that is spent on the way to and from the caller, which
-  /// includes the wait of a small VM for its processor: a fifth, up to this time.
+  /// includes the wait of a small VM for its processor: three tenths, up to this time.
   Duration mMaxCallerMargin = std::chrono::milliseconds(30);
 };
 
--- a/src/wasabispar/gateway/request_run.cpp
+++ b/src/wasabispar/gateway/request_run.cpp
@@ -17,8 +17,8 @@
 constexpr Duration kReapDelay = std::chrono::milliseconds(300);
 /// Time for the final answer to reach the caller before it stops waiting.
 constexpr Duration kDeadlineMargin = std::chrono::milliseconds(15);
-/// Divisor of the objective that gives the margin of a short one.
-constexpr int kCallerMarginShare = 5;
+/// Share of a short objective that gives its margin.
+constexpr Permille kCallerMarginShare(300);
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(50);
 constexpr Duration kMaxRetryAfter = std::chrono::seconds(1);
 
@@ -38,7 +38,8 @@
   const auto* fanOut = std::get_if<FanOutTarget>(&aRoute.mTarget);
   return { aParts, fanOut ? fanOut->RequiredShards() : 1,
            aNow + aRoute.mObjective -
-             std::min(aMaxCallerMargin, aRoute.mObjective / kCallerMarginShare),
+             std::min(aMaxCallerMargin,
+                      aRoute.mObjective * kCallerMarginShare.Value() / 1000),
            aNow + TimeAllowed(aRequest, aRoute) };
 }
 
