--- a/include/wasabispar/gateway/service_pool.hpp
+++ b/include/wasabispar/gateway/service_pool.hpp
@@ -97,8 +97,6 @@
   void OnChange(const UpstreamChange& aChange);
   /// @brief Opens warm connections and starts waiting requests.
   void Tick();
-  /// @brief Closes all connections.
-  void Stop();
 
   /// @brief The best upstream that is not among @p aTried.
   PlacementResult Choose(const std::vector<UpstreamId>& aTried, TimePoint aNow) const;
@@ -114,7 +112,6 @@
 
   WaitQueue& Queue() { return mQueue; }
   ExtraLoadWindow& ExtraLoad() { return mExtraLoad; }
-  const std::vector<ReplicaPtr>& Replicas() const { return mReplicas; }
 
 private:
   ReplicaPtr Create(const UpstreamRecord& aRecord);
--- a/include/wasabispar/routing/replica_load.hpp
+++ b/include/wasabispar/routing/replica_load.hpp
@@ -45,9 +45,7 @@
   /// @brief Share of the recent requests that it shed or whose answer was lost, from 0 to
   /// 1. Falls while nothing is sent, so that it is tried again.
   double FailureShare(TimePoint aNow) const;
-  /// @brief Until when no request should be sent unless there is no other upstream; a
-  /// past time when there is no reason.
-  TimePoint AvoidUntil() const { return mAvoidUntil; }
+  /// @brief Whether no request should be sent unless there is no other upstream.
   bool IsAvoided(TimePoint aNow) const { return aNow < mAvoidUntil; }
   std::size_t InFlight() const { return mInFlight.size(); }
   /// @brief The last attempt to open a connection failed.
--- a/src/wasabispar/gateway/service_pool.cpp
+++ b/src/wasabispar/gateway/service_pool.cpp
@@ -188,14 +188,6 @@
   mQueue.Pump();
 }
 
-void
-ServicePool::Stop()
-{
-  for (const auto& replica : mReplicas) {
-    replica->mPool->Stop();
-  }
-}
-
 std::vector<ReplicaCandidate>
 ServicePool::Candidates(const std::vector<UpstreamId>& aTried, TimePoint aNow) const
 {
--- a/src/wasabispar/net/connection_pool_test.cpp
+++ b/src/wasabispar/net/connection_pool_test.cpp
@@ -2,8 +2,8 @@
 /// @brief Tests of which connections a pool keeps open.
 #include "wasabispar/net/connection_pool.hpp"
 
+#include "worker_calls.hpp"
 #include "wasabispar/net/http_server.hpp"
-#include "wasabispar/net/worker.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <doctest/doctest.h>
@@ -65,15 +65,7 @@
                                              options, std::move(hooks));
   }
 
-  void OnWorker(const std::function<void()>& aFn)
-  {
-    std::promise<void> done;
-    mWorker.Post([&] {
-      aFn();
-      done.set_value();
-    });
-    done.get_future().wait();
-  }
+  void OnWorker(const std::function<void()>& aFn) { RunAndWait(mWorker, aFn); }
 
   /// Runs @p aCount exchanges at the same time and waits for their ends.
   void Run(std::size_t aCount, ConnectionPool::Handle aFirst)
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -2,6 +2,8 @@
 /// @brief Fake upstreams and the protocol of the gateway's tests.
 #include "gateway_fixture.hpp"
 
+#include "tests/worker_calls.hpp"
+
 #include <thread>
 
 namespace wasabispar {
@@ -293,12 +295,7 @@
 void
 GatewayFixture::OnWorker(const std::function<void()>& aFn)
 {
-  std::promise<void> done;
-  mWorker.Post([&] {
-    aFn();
-    done.set_value();
-  });
-  done.get_future().wait();
+  RunAndWait(mWorker, aFn);
 }
 
 Route
