--- a/src/wasabispar/net/connection_pool_test.cpp
+++ b/src/wasabispar/net/connection_pool_test.cpp
@@ -2,8 +2,8 @@
 /// @brief Tests of which connections a pool keeps open.
 #include "wasabispar/net/connection_pool.hpp"
 
-#include "worker_calls.hpp"
 #include "wasabispar/net/http_server.hpp"
+#include "worker_calls.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <doctest/doctest.h>
