--- a/tests/harness/tcp_relay.cpp
+++ b/tests/harness/tcp_relay.cpp
@@ -136,9 +136,10 @@
   {
   }
 
-  void Listen()
+  void Listen(std::uint16_t aPort)
   {
-    mAcceptor.emplace(mContext, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    mAcceptor.emplace(mContext,
+                      tcp::endpoint(asio::ip::make_address("127.0.0.1"), aPort));
     mPort = mAcceptor->local_endpoint().port();
     Accept();
   }
@@ -151,7 +152,7 @@
       }
       std::erase_if(mPairs, [](const auto& aPair) { return aPair.expired(); });
       const auto pair = std::make_shared<Pair>(mContext, std::move(aSocket), mDelay);
-      if (mMode == RelayMode::Cut) {
+      if (mMode == RelayMode::Reset) {
         pair->Reset();
         return Accept();
       }
@@ -164,12 +165,18 @@
 
   void Apply(RelayMode aMode)
   {
-    mMode = aMode;
+    const auto old = std::exchange(mMode, aMode);
     if (aMode == RelayMode::Cut) {
+      mAcceptor.reset();
       ForEachPair([](Pair& aPair) { aPair.Close(); });
+    } else if (aMode == RelayMode::Reset) {
+      ForEachPair([](Pair& aPair) { aPair.Reset(); });
     } else {
       ForEachPair([this](Pair& aPair) { ApplyMode(aPair); });
     }
+    if (old == RelayMode::Cut && aMode != RelayMode::Cut) {
+      Listen(mPort);
+    }
   }
 
   void ApplyMode(Pair& aPair) const
@@ -200,6 +207,10 @@
   }
 
   asio::io_context mContext{ 1 };
+  /// Keeps the thread running while the relay is cut and has no socket.
+  asio::executor_work_guard<asio::io_context::executor_type> mWork{
+    mContext.get_executor()
+  };
   tcp::endpoint mTarget;
   Duration mDelay{};
   std::optional<tcp::acceptor> mAcceptor;
@@ -212,7 +223,7 @@
 TcpRelay::TcpRelay(Endpoint aTarget)
   : mState(std::make_unique<State>(aTarget))
 {
-  mState->Listen();
+  mState->Listen(0);
   mState->mThread = std::thread([state = mState.get()] { state->mContext.run(); });
 }
 
--- a/tests/harness/tcp_relay.hpp
+++ b/tests/harness/tcp_relay.hpp
@@ -14,8 +14,10 @@
 enum class RelayMode
 {
   Pass,
-  /// Closes all connections and resets new ones at once. The port stays taken.
+  /// Closes all connections and refuses new ones.
   Cut,
+  /// Resets all connections, and new ones at once. The port stays taken.
+  Reset,
   /// Accepts connections and keeps them open, but forwards nothing.
   Silent,
   /// Forwards what the client sends, but nothing back.
