--- a/include/wasabispar/net/http_types.hpp
+++ b/include/wasabispar/net/http_types.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -56,6 +57,8 @@
   std::string_view Path() const;
   /// @brief The value of parameter @p aName in the query string; empty if absent.
   std::string QueryParameter(std::string_view aName) const;
+  /// @brief The same as a number; empty if it is absent or no whole number.
+  std::optional<std::uint64_t> QueryNumber(std::string_view aName) const;
   /// @brief The value of header @p aName, compared without case; empty if absent.
   std::string_view Header(std::string_view aName) const;
 };
--- a/src/wasabispar/gateway/request_run.cpp
+++ b/src/wasabispar/gateway/request_run.cpp
@@ -121,11 +121,17 @@
       break;
   }
   if (part.mOpen.empty()) {
-    mTrace.Add(TraceStep::PartGivenUp, aPart, {}, part.mTried.size(), now);
-    mGather.OnLost(aPart);
+    GiveUpPart(aPart, now);
   }
 }
 
+void
+RequestRun::GiveUpPart(std::size_t aPart, TimePoint aNow)
+{
+  mTrace.Add(TraceStep::PartGivenUp, aPart, {}, mParts[aPart].mTried.size(), aNow);
+  mGather.OnLost(aPart);
+}
+
 void
 RequestRun::Enqueue(std::size_t aPart, TraceStep aStep)
 {
@@ -161,8 +167,7 @@
     return true;
   }
   if (part.mOpen.empty()) {
-    mTrace.Add(TraceStep::PartGivenUp, aPart, {}, part.mTried.size(), now);
-    mGather.OnLost(aPart);
+    GiveUpPart(aPart, now);
     Judge();
   }
   return true;
@@ -354,8 +359,7 @@
   }
   part.mHedgeAt.reset();
   if (!MayRetry(part, aNow)) {
-    mTrace.Add(TraceStep::PartGivenUp, aPart, {}, part.mTried.size(), aNow);
-    mGather.OnLost(aPart);
+    GiveUpPart(aPart, aNow);
     return;
   }
   // Only what reached an upstream counts as extra load.
--- a/src/wasabispar/gateway/request_run.hpp
+++ b/src/wasabispar/gateway/request_run.hpp
@@ -66,6 +66,8 @@
   bool CanBeServed(TimePoint aNow);
   void Launch(std::size_t aPart, TraceStep aStep);
   bool TryLaunch(std::size_t aPart, TraceStep aStep);
+  /// No upstream is left to ask for the part.
+  void GiveUpPart(std::size_t aPart, TimePoint aNow);
   void Enqueue(std::size_t aPart, TraceStep aStep);
   void LeaveQueue(Part& aPart);
   void Send(std::size_t aPart, const ReplicaPtr& aReplica, TraceStep aStep);
--- a/src/wasabispar/net/http_types.cpp
+++ b/src/wasabispar/net/http_types.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <charconv>
 #include <utility>
 
 namespace wasabispar {
@@ -103,6 +104,19 @@
   return {};
 }
 
+std::optional<std::uint64_t>
+HttpRequest::QueryNumber(std::string_view aName) const
+{
+  const auto text = QueryParameter(aName);
+  const auto* end = text.data() + text.size();
+  std::uint64_t number = 0;
+  const auto result = std::from_chars(text.data(), end, number);
+  if (result.ec != std::errc{} || result.ptr != end) {
+    return std::nullopt;
+  }
+  return number;
+}
+
 std::string_view
 HttpRequest::Header(std::string_view aName) const
 {
--- a/tests/standins/platform_service.cpp
+++ b/tests/standins/platform_service.cpp
@@ -4,8 +4,6 @@
 
 #include "tests/standins/json_read.hpp"
 
-#include <charconv>
-
 namespace wasabispar::standins {
 
 namespace json = boost::json;
@@ -24,18 +22,6 @@
   return response;
 }
 
-std::optional<std::uint64_t>
-NumberParameter(const HttpRequest& aRequest, std::string_view aName)
-{
-  const auto text = aRequest.QueryParameter(aName);
-  std::uint64_t number = 0;
-  const auto result = std::from_chars(text.data(), text.data() + text.size(), number);
-  if (text.empty() || result.ec != std::errc{}) {
-    return std::nullopt;
-  }
-  return number;
-}
-
 } // namespace
 
 PlatformService::PlatformService(boost::asio::io_context& aContext)
@@ -125,8 +111,8 @@
   Watch watch;
   watch.mExchange = aExchange;
   watch.mPrefix = request.QueryParameter("prefix");
-  watch.mAfter = NumberParameter(request, "after").value_or(0);
-  const auto timeout = NumberParameter(request, "timeout_ms").value_or(kDefaultWatchMs);
+  watch.mAfter = request.QueryNumber("after").value_or(0);
+  const auto timeout = request.QueryNumber("timeout_ms").value_or(kDefaultWatchMs);
   watch.mTimer = std::make_unique<boost::asio::steady_timer>(
     mContext, std::chrono::milliseconds(timeout));
   const auto place = mWatches.insert(mWatches.end(), std::move(watch));
@@ -194,7 +180,7 @@
   } else if (aRequest.mMethod != "DELETE") {
     return MakeResponse(405, { { "cause", "use PUT or DELETE" } });
   }
-  const auto expected = NumberParameter(aRequest, "expected");
+  const auto expected = aRequest.QueryNumber("expected");
   const auto revision = mStore.Write(key, std::move(value), expected);
   if (!revision) {
     return MakeResponse(409, { { "revision", mStore.KeyRevision(key) } });
