Quotas: a VM without a connection may open one for a single exchange

An upstream accepts 125 connections and 113 are assigned: 65 to the VMs of its region and 48 to others, so 17 of 65 VMs of a region had no second upstream for a shard, and none had a third. While a third of the searchers is slow, silent or leaving and at most two of 42 parts may be missing, most fan-outs were refused, although most of the assigned connections are closed at any moment: a searcher needs two or three at a time.

Change: ConnectionQuota::mMayOverflow. A VM without a quota may open one connection for one exchange, unless the connections that are kept open leave less than a quarter of the upstream's limit. Placement prefers connections within the quota (20 ms).

--- a/include/wasabispar/fleet/regional_quota.hpp
+++ b/include/wasabispar/fleet/regional_quota.hpp
@@ -41,6 +41,8 @@
   std::uint32_t mLimit = 0;
   /// Whether one connection stays open without traffic; all others are opened on demand.
   bool mIsKeptOpen = false;
+  /// Whether a VM whose mLimit is 0 may open one connection for a single exchange.
+  bool mMayOverflow = false;
 
   bool operator==(const ConnectionQuota&) const = default;
 };
@@ -56,6 +58,12 @@
 /// rank get them. The sum over all quota holders is at most ConnectionLimits::mUsable if
 /// all VMs use the same lists of holders and upstreams.
 ///
+/// Load pattern: while many upstreams of a service fail or slow down, a VM without a
+/// connection to the remaining ones could not serve its requests, although the upstreams
+/// accept more connections: most of the assigned ones are closed at any moment. Therefore
+/// a VM without a quota may overflow it for single exchanges, unless the connections that
+/// are kept open leave too little room.
+///
 /// After a power loss an upstream still counts the connections of the VMs that failed.
 /// Therefore, if there are fewer than two connections for each VM, only so many
 /// connections to an upstream are kept open that all VMs of its region can connect once
--- a/include/wasabispar/gateway/service_pool.hpp
+++ b/include/wasabispar/gateway/service_pool.hpp
@@ -33,6 +33,9 @@
   /// Maximum number of exchanges, and of connections, of this VM with the upstream. 0
   /// when the connections are all assigned to other VMs.
   std::size_t mMaxExchanges = 1;
+  /// This VM has no quota of the upstream and may only overflow it: mMaxExchanges is 1,
+  /// and the connection closes after the exchange.
+  bool mIsOverflow = false;
   /// Connections that are open or being opened.
   std::size_t mConnections = 0;
   /// Connections that are kept open without traffic.
@@ -50,6 +53,12 @@
   {
     return mRecord.mState == UpstreamState::Serving && !mIsMisaddressed;
   }
+  /// @brief Number of connections that should be closed.
+  std::size_t ExcessConnections() const
+  {
+    const auto kept = mIsOverflow ? mLoad.InFlight() : mMaxExchanges;
+    return mConnections > kept ? mConnections - kept : 0;
+  }
   /// @brief Whether no connection is open and the last attempt to open one failed. The
   /// connection pool continues to try.
   bool IsUnreachable() const
@@ -131,6 +140,8 @@
   ExtraLoadWindow& ExtraLoad() { return mExtraLoad; }
 
 private:
+  /// Applies the quota of this VM to an upstream.
+  static void ApplyQuota(Replica& aReplica, const ConnectionQuota& aQuota);
   /// Creates an upstream with its connection pool.
   ReplicaPtr Create(const UpstreamRecord& aRecord);
   /// Removes an upstream. Its running exchanges may finish.
--- a/include/wasabispar/routing/placement.hpp
+++ b/include/wasabispar/routing/placement.hpp
@@ -30,10 +30,13 @@
   bool mIsRemote = false;
   /// A recent request failed, so the upstream is chosen only when no other is free.
   bool mIsAvoided = false;
+  /// A connection has to be opened for this request alone.
+  bool mIsOverflow = false;
 };
 
 /// @brief The expected response time, plus the wait behind the exchanges that this VM
-/// runs at the upstream, plus penalties for its failure ratio and for another region.
+/// runs at the upstream, plus penalties for its failure ratio, for another region and for
+/// a connection to open.
 Duration
 PlacementCost(const ReplicaCandidate& aCandidate);
 
--- a/src/wasabispar/fleet/regional_quota.cpp
+++ b/src/wasabispar/fleet/regional_quota.cpp
@@ -3,6 +3,7 @@
 #include "wasabispar/fleet/regional_quota.hpp"
 
 #include "wasabispar/base/hash.hpp"
+#include "wasabispar/base/units.hpp"
 
 #include <algorithm>
 #include <array>
@@ -16,6 +17,9 @@
 /// keeps one connection open, so that at least half of the connections remain for all VMs
 /// to connect once more after a power loss.
 constexpr std::uint32_t kAmpleQuotaPerVm = 2;
+/// VMs may overflow their quotas of an upstream if at least this fraction of its
+/// connections is not kept open.
+constexpr Permille kMinOverflowRoom(250);
 
 std::uint64_t
 MixedHash(std::uint64_t aMember, std::uint64_t aKey)
@@ -37,6 +41,9 @@
     : mRankedHolders(aQuotas.RankHolders(aUpstreams))
     , mRemaining(aUpstreams.size(), aLimits.mUsable)
     , mRemoteUpstreams(aQuotas.mRegions.size())
+    , mKeptOpen(aUpstreams.size(), 0)
+    , mMaxKeptOpenToOverflow(aLimits.mUpstreamLimit -
+                             aLimits.mUpstreamLimit * kMinOverflowRoom.Value() / 1000)
     , mQuotas(aUpstreams.size())
   {
     for (const auto& upstream : aUpstreams) {
@@ -55,6 +62,7 @@
     AssignLocal();
     AssignAlternatives();
     AssignRemainder();
+    AllowOverflow();
     return mQuotas;
   }
 
@@ -96,13 +104,22 @@
     return mRemaining[aPosition] >= mMinRemainingToKeepOpen[aPosition];
   }
 
+  /// Gives a connection that was taken to @p aHolder.
+  void Assign(const CompactHolder& aHolder, std::size_t aPosition, bool aIsKeptOpen)
+  {
+    mKeptOpen[aPosition] += aIsKeptOpen ? 1 : 0;
+    if (aHolder.mIsSelf) {
+      mQuotas[aPosition] = { 1, aIsKeptOpen };
+    }
+  }
+
   /// Assigns one connection to each upstream to each VM in the region of the upstream.
   void AssignLocal()
   {
     for (const auto& holder : mRankedHolders) {
       for (std::size_t i = 0; i < mRegions.size(); ++i) {
-        if (mRegions[i] == holder.mRegion && TakeConnection(i) && holder.mIsSelf) {
-          mQuotas[i] = { 1, true };
+        if (mRegions[i] == holder.mRegion && TakeConnection(i)) {
+          Assign(holder, i, true);
         }
       }
     }
@@ -118,8 +135,8 @@
         continue;
       }
       const auto position = positions[ranks[holder.mRegion]++ % positions.size()];
-      if (TakeConnection(position) && holder.mIsSelf) {
-        mQuotas[position] = { 1, MayStayOpen(position) };
+      if (TakeConnection(position)) {
+        Assign(holder, position, MayStayOpen(position));
       }
     }
   }
@@ -131,13 +148,22 @@
       std::vector<std::size_t> ranks(mRemoteUpstreams.size(), 0);
       for (const auto& holder : mRankedHolders) {
         const auto rank = ranks[holder.mRegion]++;
-        if (!HasUpstream(holder, rank, i) && TakeConnection(i) && holder.mIsSelf) {
-          mQuotas[i] = { 1, false };
+        if (!HasUpstream(holder, rank, i) && TakeConnection(i)) {
+          Assign(holder, i, false);
         }
       }
     }
   }
 
+  /// Lets this VM overflow its quota where it has none and the upstream has room.
+  void AllowOverflow()
+  {
+    for (std::size_t i = 0; i < mQuotas.size(); ++i) {
+      mQuotas[i].mMayOverflow =
+        mQuotas[i].mLimit == 0 && mKeptOpen[i] <= mMaxKeptOpenToOverflow;
+    }
+  }
+
   /// Whether the upstream at @p aPosition is in the region of @p aHolder or is the
   /// alternative of the holder with rank @p aRank in that region.
   bool HasUpstream(const CompactHolder& aHolder, std::size_t aRank,
@@ -158,6 +184,11 @@
   std::vector<std::uint32_t> mMinRemainingToKeepOpen;
   /// For each region, the positions of the upstreams outside of it.
   std::vector<std::vector<std::size_t>> mRemoteUpstreams;
+  /// Connections of all VMs to each upstream that are kept open.
+  std::vector<std::uint32_t> mKeptOpen;
+  /// VMs may overflow their quotas of an upstream with at most this many connections that
+  /// are kept open.
+  std::uint32_t mMaxKeptOpenToOverflow;
   /// Quotas of this VM by upstream.
   std::vector<ConnectionQuota> mQuotas;
 };
--- a/src/wasabispar/fleet/regional_quota_test.cpp
+++ b/src/wasabispar/fleet/regional_quota_test.cpp
@@ -119,6 +119,34 @@
   CHECK(alternatives >= holders.size() / 2);
 }
 
+/// 195 VMs, 65 in each region, and 125 connections to each of three upstreams: 17 of 65
+/// VMs of a region got no connection outside of it. When their own upstream failed, they
+/// refused requests that an idle upstream could have served.
+TEST_CASE("load pattern: every VM can reach every upstream when others fail")
+{
+  const auto holders = MakeHolders({ 65, 65, 65 });
+  for (const auto& holder : holders) {
+    const auto quotas = RegionalQuotas(holder.mVm, holders)
+                          .QuotasFor(OneUpstreamPerRegion(3), { 125, 113 });
+    for (const auto& quota : quotas) {
+      CHECK((quota.mLimit > 0 || quota.mMayOverflow));
+    }
+  }
+}
+
+/// When idle connections fill an upstream, overflowing ones would only be reset.
+TEST_CASE(
+  "no VM overflows its quota where the connections that are kept open leave no room")
+{
+  const auto holders = MakeHolders({ 60, 10 });
+  for (const auto& holder : holders) {
+    CHECK_FALSE(RegionalQuotas(holder.mVm, holders)
+                  .QuotasFor(OneUpstreamPerRegion(1), { 66, 60 })
+                  .at(0)
+                  .mMayOverflow);
+  }
+}
+
 TEST_CASE("with more local VMs than connections VMs of other regions get none")
 {
   CHECK(SumQuotas(MakeHolders({ 40, 10 }), OneUpstreamPerRegion(1), MakeLimits(30))
--- a/src/wasabispar/gateway/service_pool.cpp
+++ b/src/wasabispar/gateway/service_pool.cpp
@@ -71,14 +71,21 @@
       ? mOptions.mConnectionQuotas(records, mMaxConnections)
       : std::vector<ConnectionQuota>(records.size(), { mMaxConnections, true });
   for (std::size_t i = 0; i < mReplicas.size(); ++i) {
-    const std::size_t slots = std::max<std::uint32_t>(1, records[i].mSlots);
-    auto& replica = *mReplicas[i];
-    replica.mMaxExchanges =
-      std::min<std::size_t>(quotas[i].mLimit, slots * kExchangesPerSlot);
-    replica.mMinConnections = quotas[i].mIsKeptOpen ? 1 : 0;
+    ApplyQuota(*mReplicas[i], quotas[i]);
   }
 }
 
+void
+ServicePool::ApplyQuota(Replica& aReplica, const ConnectionQuota& aQuota)
+{
+  const std::size_t slots = std::max<std::uint32_t>(1, aReplica.mRecord.mSlots);
+  aReplica.mIsOverflow = aQuota.mMayOverflow;
+  aReplica.mMaxExchanges =
+    aQuota.mMayOverflow ? 1
+                        : std::min<std::size_t>(aQuota.mLimit, slots * kExchangesPerSlot);
+  aReplica.mMinConnections = aQuota.mIsKeptOpen ? 1 : 0;
+}
+
 void
 ServicePool::SetExtraLoad(const ExtraLoadOptions& aOptions)
 {
@@ -134,9 +141,7 @@
   };
   hooks.mExcessConnections = [weak]() -> std::uint32_t {
     const auto self = weak.lock();
-    return self && self->mConnections > self->mMaxExchanges
-             ? static_cast<std::uint32_t>(self->mConnections - self->mMaxExchanges)
-             : 0;
+    return self ? static_cast<std::uint32_t>(self->ExcessConnections()) : 0;
   };
   hooks.mSlotLimit = [weak]() -> std::uint32_t {
     const auto self = weak.lock();
@@ -203,10 +208,10 @@
         Contains(aTried, replica.mRecord.mId)) {
       continue;
     }
-    candidates.push_back({ i, replica.mLoad.ExpectedLatency(aNow),
-                           replica.mLoad.FailureRatio(aNow), replica.mLoad.InFlight(),
-                           replica.mMaxExchanges, replica.mRecord.mSlots,
-                           replica.mIsRemote, replica.mLoad.IsAvoided(aNow) });
+    candidates.push_back(
+      { i, replica.mLoad.ExpectedLatency(aNow), replica.mLoad.FailureRatio(aNow),
+        replica.mLoad.InFlight(), replica.mMaxExchanges, replica.mRecord.mSlots,
+        replica.mIsRemote, replica.mLoad.IsAvoided(aNow), replica.mIsOverflow });
   }
   return candidates;
 }
--- a/src/wasabispar/routing/placement.cpp
+++ b/src/wasabispar/routing/placement.cpp
@@ -10,6 +10,9 @@
 
 /// An upstream of this VM's region is preferred while it is at most this much slower.
 constexpr Duration kRemotePenalty = std::chrono::milliseconds(6);
+/// Cost of opening a connection: the round trips, and the time in which the handshake
+/// takes one of the upstream's slots.
+constexpr Duration kOverflowPenalty = std::chrono::milliseconds(20);
 /// Cost of a failed exchange: the time until another upstream answers, and the extra send
 /// for the retry.
 constexpr Duration kFailurePenalty = std::chrono::milliseconds(100);
@@ -29,7 +32,8 @@
   const auto failures = Duration(static_cast<Duration::rep>(
     static_cast<double>(kFailurePenalty.count()) * aCandidate.mFailureRatio));
   const auto remote = aCandidate.mIsRemote ? kRemotePenalty : Duration{};
-  return aCandidate.mExpectedLatency + wait + failures + remote;
+  const auto overflow = aCandidate.mIsOverflow ? kOverflowPenalty : Duration{};
+  return aCandidate.mExpectedLatency + wait + failures + remote + overflow;
 }
 
 std::optional<std::size_t>
--- a/src/wasabispar/routing/placement_test.cpp
+++ b/src/wasabispar/routing/placement_test.cpp
@@ -49,6 +49,15 @@
   CHECK(ChooseCandidate({ Candidate(0, 30ms), remote }) == 1U);
 }
 
+/// Guards against handshakes for requests that the open connections can carry.
+TEST_CASE("a connection is opened beyond the quota only when the others are much slower")
+{
+  auto overflow = Candidate(1, 10ms);
+  overflow.mIsOverflow = true;
+  CHECK(ChooseCandidate({ Candidate(0, 25ms), overflow }) == 0U);
+  CHECK(ChooseCandidate({ Candidate(0, 80ms), overflow }) == 1U);
+}
+
 TEST_CASE("a hedge is sent in time to be answered before the objective")
 {
   CHECK(HedgeDelay(8ms, 30ms, 100ms) == 20ms);
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -128,6 +128,15 @@
   mServer->Abort();
 }
 
+void
+FakeUpstream::Restart()
+{
+  mServer = std::make_unique<standins::ConnectionServer>(
+    mWorker.Context(), standins::ConnectionServerOptions{},
+    [this](const standins::ExchangePtr& aExchange) { Handle(aExchange); });
+  mServer->Listen(mPort);
+}
+
 std::string
 FakeUpstream::LastTimeLeft() const
 {
@@ -191,9 +200,10 @@
   aExchange->Respond(std::move(response));
 }
 
-GatewayFixture::GatewayFixture()
+GatewayFixture::GatewayFixture(QuotasFn aQuotas)
 {
   GatewayOptions options;
+  options.mPools.mConnectionQuotas = std::move(aQuotas);
   options.mPools.mIsRemote = [](const DataCentreId&) { return false; };
   options.mPools.mExtraLoad.mReserve = 100;
   OnWorker([&] {
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -56,6 +56,10 @@
   std::string LastTimeLeft() const;
   /// @brief Stops listening and resets all connections.
   void Kill();
+  /// @brief Listens again after Kill().
+  void Restart();
+  /// @brief Number of connections that are open now.
+  std::size_t OpenConnections() const { return mServer->Counts().mOpen; }
 
   FakeBehaviour mBehaviour = FakeBehaviour::Answer;
   /// Time from a request to its answer.
@@ -89,11 +93,17 @@
   Duration mTook{};
 };
 
+/// @brief Type of ServicePoolOptions::mConnectionQuotas.
+using QuotasFn = std::function<std::vector<ConnectionQuota>(
+  const std::vector<UpstreamRecord>&, std::uint32_t)>;
+
 /// @brief A gateway on a worker of its own, with its upstreams.
 class GatewayFixture
 {
 public:
-  GatewayFixture();
+  /// @param aQuotas the connection quotas of the gateway; if empty, it uses all
+  /// connections.
+  explicit GatewayFixture(QuotasFn aQuotas = {});
   ~GatewayFixture();
 
   /// @brief Adds an upstream of @p aService and waits until the gateway has processed the
