HTTP server: report a slow request before its connection closes

Cause of the known red http_rejections: the timeout of Beast's stream closes the socket when it expires and completes the read afterwards, so the client saw the close before the server reported "read-timeout", and the test compared too early.

Change: a timer of the session bounds the reading of a request; it reports, then closes.

--- a/src/wasabispar/net/http_server.cpp
+++ b/src/wasabispar/net/http_server.cpp
@@ -85,6 +85,7 @@
     : mServer(std::move(aServer))
     , mStream(std::move(aSocket))
     , mIdleTimer(mStream.get_executor())
+    , mReadTimer(mStream.get_executor())
   {
     beast::error_code error;
     const auto remote = mStream.socket().remote_endpoint(error);
@@ -130,6 +131,11 @@
   beast::flat_buffer mBuffer;
   std::optional<http::request_parser<http::string_body>> mParser;
   asio::steady_timer mIdleTimer;
+  /// Bounds the time to read a request. The timeout of mStream is not used for it,
+  /// because it closes the connection before the rejection can be reported.
+  asio::steady_timer mReadTimer;
+  /// Number of requests of which the first byte was read.
+  std::uint64_t mRequestNumber = 0;
   std::string mPeer;
   /// True from the first to the last byte of a request.
   bool mReading = false;
@@ -212,10 +218,12 @@
     mParser.emplace();
     mParser->header_limit(static_cast<std::uint32_t>(options.mMaxHeaderBytes));
     mParser->body_limit(options.mMaxBodyBytes);
-    mStream.expires_after(options.mReadTimeout);
+    mStream.expires_never();
+    ArmReadTimer(options.mReadTimeout);
     http::async_read(mStream, mBuffer, *mParser,
                      [self = shared_from_this()](beast::error_code aError, std::size_t) {
                        self->mReading = false;
+                       self->mReadTimer.cancel();
                        if (aError) {
                          self->RejectRequest(aError);
                        } else {
@@ -224,17 +232,28 @@
                      });
   }
 
+  /// Reports the request that is being read and closes the connection after @p aTimeout,
+  /// unless the request is complete by then.
+  void ArmReadTimer(Duration aTimeout)
+  {
+    mReadTimer.expires_after(
+      std::chrono::duration_cast<asio::steady_timer::duration>(aTimeout));
+    mReadTimer.async_wait(
+      [weak = weak_from_this(), number = ++mRequestNumber](beast::error_code aError) {
+        const auto self = weak.lock();
+        if (!aError && self && self->mReading && self->mRequestNumber == number) {
+          self->mServer->ReportRejection("read-timeout");
+          self->Close();
+        }
+      });
+  }
+
   /// Responds to and reports a request that violates a limit or does not parse. Closes
-  /// the connection without a response on a timeout or a lost connection.
+  /// the connection without a response if it is lost or was closed by the read timer.
   void RejectRequest(beast::error_code aError)
   {
     unsigned status = 400;
     std::string_view reason = "malformed";
-    if (aError == beast::error::timeout) {
-      mServer->ReportRejection("read-timeout");
-      Close();
-      return;
-    }
     if (aError == http::error::end_of_stream || aError == asio::error::connection_reset ||
         aError == asio::error::operation_aborted) {
       Close();
@@ -370,6 +389,7 @@
   void Close()
   {
     mIdleTimer.cancel();
+    mReadTimer.cancel();
     mStream.close();
   }
 };
--- a/src/wasabispar/net/http_test.cpp
+++ b/src/wasabispar/net/http_test.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
+#include <atomic>
 #include <future>
 #include <thread>
 
@@ -112,6 +113,50 @@
                                              "body-too-large", "read-timeout" });
 }
 
+/// Guards against a caller that sees its connection closed before the operator's counters
+/// say why. The report takes long enough that a close before its end is noticed.
+TEST_CASE("a request that is read too slowly is reported before its connection closes")
+{
+  Worker worker;
+  std::atomic<bool> isReported = false;
+  HttpServerOptions options;
+  options.mReadTimeout = 100ms;
+  HttpServer server(
+    { &worker.mContext }, options,
+    [](HttpRequest, HttpRespondFn aRespond) { aRespond({}); },
+    [&](std::string_view aReason) {
+      CHECK(aReason == "read-timeout");
+      std::this_thread::sleep_for(100ms);
+      isReported = true;
+    });
+  REQUIRE(server.Start());
+  CHECK(SendRaw(server.Port(), "GET / HT") == "");
+  CHECK(isReported);
+}
+
+/// Guards against a timeout of one request that ends the next one on the connection.
+TEST_CASE("the time of a request does not count for the next one on its connection")
+{
+  Worker worker;
+  HttpServerOptions options;
+  options.mReadTimeout = 150ms;
+  HttpServer server({ &worker.mContext }, options,
+                    [](HttpRequest, HttpRespondFn aRespond) { aRespond({}); });
+  REQUIRE(server.Start());
+  const auto connection =
+    HttpConnection::Create(worker.mContext, { "127.0.0.1", server.Port() });
+  std::promise<bool> opened;
+  connection->Open(1s, [&](bool aOpened, std::string) { opened.set_value(aOpened); });
+  REQUIRE(opened.get_future().get());
+  for (int i = 0; i < 5; ++i) {
+    std::promise<HttpExchangeEnd> end;
+    connection->Exchange(
+      {}, 1s, [&](HttpExchangeResult aResult) { end.set_value(aResult.mEnd); });
+    CHECK(end.get_future().get() == HttpExchangeEnd::Response);
+    std::this_thread::sleep_for(60ms);
+  }
+}
+
 TEST_CASE("an exchange that times out closes its connection")
 {
   // Guards against reading a late response as the response to the next request.
