Routing: what a VM knows of an upstream lasts for a few of its requests

The estimate of a slow upstream halved every 0.6 s, and a silent one was avoided for 0.1 s, so each request found out anew: in the replay of a searcher that is eleven times slower for 9 s, every request of a VM with this rate went to it.

At a low rate a sample weighs up to one half instead of a quarter.

--- a/include/wasabispar/gateway/service_pool.hpp
+++ b/include/wasabispar/gateway/service_pool.hpp
@@ -10,6 +10,7 @@
 #include "wasabispar/routing/extra_load_window.hpp"
 #include "wasabispar/routing/placement.hpp"
 #include "wasabispar/routing/replica_load.hpp"
+#include "wasabispar/routing/request_interval.hpp"
 #include "wasabispar/routing/upstream_directory.hpp"
 #include "wasabispar/routing/wait_queue.hpp"
 
@@ -120,6 +121,8 @@
   /// periodically.
   void Tick();
 
+  /// @brief A request, or a part of one, arrived for the service.
+  void OnRequest(TimePoint aNow);
   /// @brief Chooses the best usable upstream that is not among @p aTried.
   PlacementResult Choose(const std::vector<UpstreamId>& aTried, TimePoint aNow) const;
   /// @brief The lowest PlacementCost() of the usable upstreams that are not among
@@ -159,6 +162,7 @@
   std::vector<ReplicaPtr> mReplicas;
   WaitQueue mQueue;
   ExtraLoadWindow mExtraLoad;
+  RequestInterval mRequestInterval;
 };
 
 } // namespace wasabispar
--- a/include/wasabispar/routing/replica_load.hpp
+++ b/include/wasabispar/routing/replica_load.hpp
@@ -17,6 +17,11 @@
 /// The estimate follows new samples quickly and includes the age of an overdue exchange
 /// before the exchange ends. While no request is sent, the estimate decays towards the
 /// best recent response time, so that an upstream that was slow is tried again.
+///
+/// Load pattern: in a large fleet a VM sends a service one request in a second or two. If
+/// it forgot within that time that an upstream is slow or silent, each of its requests
+/// would find out anew. Therefore the estimates last for a few requests, by
+/// SetRequestInterval().
 class ReplicaLoad
 {
 public:
@@ -26,6 +31,9 @@
   /// @param aInitial expected response time before the first sample.
   explicit ReplicaLoad(Duration aInitial);
 
+  /// @brief Sets the mean time between the requests of this VM to the service. The
+  /// estimates and avoidances last for a few such intervals.
+  void SetRequestInterval(Duration aInterval);
   /// @brief A request was sent to the upstream.
   void OnSent(ExchangeId aExchange, TimePoint aNow);
   /// @brief The upstream answered. Adds the response time as a sample and ends an
@@ -75,6 +83,25 @@
   /// earlier consecutive failure.
   void Avoid(TimePoint aNow, Duration aInitialBackoff);
 
+  /// How fast the estimates change, by the rate of requests.
+  struct Pace
+  {
+    /// Weight of a new latency sample.
+    double mSampleWeight = 0;
+    /// Time after a sample before the mean starts to decay, and the half-life of its
+    /// distance from the best latency.
+    Duration mMeanDecayDelay{};
+    Duration mMeanHalfLife{};
+    Duration mFailureRatioHalfLife{};
+    /// Initial and maximum backoff after a lost answer or a failed connection.
+    Duration mLossBackoff{};
+    Duration mMaxBackoff{};
+  };
+
+  /// The pace at a mean time of @p aInterval between requests.
+  static Pace PaceAt(Duration aInterval);
+
+  Pace mPace;
   /// Exponentially weighted mean of the response times.
   Duration mMeanLatency;
   /// Best recent response time. Grows slightly with each sample, so that it follows a
--- a/src/wasabispar/gateway/active_request.cpp
+++ b/src/wasabispar/gateway/active_request.cpp
@@ -73,7 +73,7 @@
 {
   const auto now = BootClock::now();
   for (auto& part : mParts) {
-    part.mServicePool->ExtraLoad().OnRequest(now);
+    part.mServicePool->OnRequest(now);
   }
   if (!AbandonUnservableParts(now)) {
     Refuse(RefusalReason::Unavailable);
--- a/src/wasabispar/gateway/service_pool.cpp
+++ b/src/wasabispar/gateway/service_pool.cpp
@@ -198,6 +198,16 @@
   mQueue.Dispatch();
 }
 
+void
+ServicePool::OnRequest(TimePoint aNow)
+{
+  mExtraLoad.OnRequest(aNow);
+  mRequestInterval.OnRequest(aNow);
+  for (const auto& replica : mReplicas) {
+    replica->mLoad.SetRequestInterval(mRequestInterval.Mean());
+  }
+}
+
 std::vector<ReplicaCandidate>
 ServicePool::Candidates(const std::vector<UpstreamId>& aTried, TimePoint aNow) const
 {
--- a/src/wasabispar/routing/placement_test.cpp
+++ b/src/wasabispar/routing/placement_test.cpp
@@ -90,6 +90,24 @@
   CHECK(result.SlowRatio(60ms) < 0.12);
 }
 
+/// Each of 195 VMs sends a service one request in 1.5 s, and the searcher of its region
+/// becomes eleven times slower for 9 s.
+TEST_CASE("load pattern: a VM with a low rate remembers a slow searcher between requests")
+{
+  const SearcherModel remote{ .mRtt = 24ms, .mIsRemote = true };
+  ServiceReplay replay({ { .mRtt = 0ms }, remote, remote });
+  // The VM has used the others before.
+  replay.SetModel(0, { .mRtt = 0ms, .mSlowdown = 11 });
+  replay.RunEvery(1500ms, 15s);
+  replay.SetModel(0, { .mRtt = 0ms });
+  replay.RunEvery(1500ms, 60s);
+  replay.SetModel(0, { .mRtt = 0ms, .mSlowdown = 11 });
+  CHECK(replay.RunEvery(1500ms, 9s).SlowRatio(50ms) <= 0.34);
+  replay.SetModel(0, { .mRtt = 0ms });
+  replay.RunEvery(1500ms, 10s);
+  CHECK(replay.RunEvery(1500ms, 30s).RemoteRatio() < 0.2);
+}
+
 TEST_CASE("load pattern: without load or failures the traffic stays in the own region")
 {
   ServiceReplay replay({ { .mRtt = 0ms },
--- a/src/wasabispar/routing/replica_load.cpp
+++ b/src/wasabispar/routing/replica_load.cpp
@@ -9,20 +9,16 @@
 
 namespace {
 
-/// Weight of a new latency sample. One slow answer out of four must already move traffic.
+/// Weight of a new latency sample. One slow answer out of four must already move traffic;
+/// at a low rate of requests, a single one.
 constexpr double kLatencySampleWeight = 0.25;
+constexpr double kMaxLatencySampleWeight = 0.5;
+/// Interval between requests at which the weight of a sample is highest.
+constexpr Duration kLowRateInterval = std::chrono::seconds(1);
 /// Growth of the best latency with each sample, so that it follows a lasting change.
 constexpr double kBestLatencyGrowth = 1.02;
-/// Time after a sample before the mean starts to decay, and the half-life of its distance
-/// from the best latency.
-constexpr Duration kMeanDecayDelay = std::chrono::milliseconds(400);
-constexpr Duration kMeanHalfLife = std::chrono::milliseconds(600);
-/// Initial and maximum backoff after a lost answer or a failed connection.
-constexpr Duration kLossBackoff = std::chrono::milliseconds(100);
-constexpr Duration kMaxBackoff = std::chrono::seconds(1);
-/// Weight of a new outcome in the failure ratio, and the half-life of the ratio.
+/// Weight of a new outcome in the failure ratio.
 constexpr double kOutcomeWeight = 0.12;
-constexpr Duration kFailureRatioHalfLife = std::chrono::milliseconds(1500);
 /// Initial backoff after a shed request, because the upstream's queue has to drain.
 constexpr Duration kShedBackoff = std::chrono::milliseconds(25);
 
@@ -33,14 +29,46 @@
     static_cast<Duration::rep>(static_cast<double>(aDuration.count()) * aFactor));
 }
 
+/// A duration of @p aRequests intervals between requests, within bounds.
+Duration
+Requests(Duration aInterval, int aRequests, Duration aMin, Duration aMax)
+{
+  return std::clamp(aInterval * aRequests, aMin, aMax);
+}
+
 } // namespace
 
+ReplicaLoad::Pace
+ReplicaLoad::PaceAt(Duration aInterval)
+{
+  using std::chrono::milliseconds;
+  const auto lowRate = std::min(1.0, ToDoubleMilliseconds(aInterval) /
+                                       ToDoubleMilliseconds(kLowRateInterval));
+  Pace pace;
+  pace.mSampleWeight =
+    kLatencySampleWeight + (kMaxLatencySampleWeight - kLatencySampleWeight) * lowRate;
+  pace.mMeanDecayDelay = Requests(aInterval, 2, milliseconds(400), milliseconds(3000));
+  pace.mMeanHalfLife = Requests(aInterval, 2, milliseconds(600), milliseconds(3000));
+  pace.mFailureRatioHalfLife =
+    Requests(aInterval, 3, milliseconds(1500), milliseconds(4000));
+  pace.mLossBackoff = Requests(aInterval, 2, milliseconds(100), milliseconds(3000));
+  pace.mMaxBackoff = Requests(aInterval, 4, milliseconds(1000), milliseconds(5000));
+  return pace;
+}
+
 ReplicaLoad::ReplicaLoad(Duration aInitial)
-  : mMeanLatency(aInitial)
+  : mPace(PaceAt(Duration{}))
+  , mMeanLatency(aInitial)
   , mBestLatency(aInitial)
 {
 }
 
+void
+ReplicaLoad::SetRequestInterval(Duration aInterval)
+{
+  mPace = PaceAt(aInterval);
+}
+
 void
 ReplicaLoad::OnSent(ExchangeId aExchange, TimePoint aNow)
 {
@@ -73,7 +101,7 @@
 {
   RemoveExchange(aExchange, aNow);
   AddOutcome(true, aNow);
-  Avoid(aNow, kLossBackoff);
+  Avoid(aNow, mPace.mLossBackoff);
 }
 
 void
@@ -87,7 +115,7 @@
 ReplicaLoad::OnConnectFailed(TimePoint aNow)
 {
   ++mConnectFailures;
-  Avoid(aNow, kLossBackoff);
+  Avoid(aNow, mPace.mLossBackoff);
 }
 
 Duration
@@ -95,9 +123,9 @@
 {
   auto expected = mMeanLatency;
   const auto idle = aNow - mLastSampleAt;
-  if (mMeanLatency > mBestLatency && idle > kMeanDecayDelay) {
-    const auto halvings =
-      ToDoubleMilliseconds(idle - kMeanDecayDelay) / ToDoubleMilliseconds(kMeanHalfLife);
+  if (mMeanLatency > mBestLatency && idle > mPace.mMeanDecayDelay) {
+    const auto halvings = ToDoubleMilliseconds(idle - mPace.mMeanDecayDelay) /
+                          ToDoubleMilliseconds(mPace.mMeanHalfLife);
     expected = mBestLatency + Scaled(mMeanLatency - mBestLatency, std::exp2(-halvings));
   }
   if (!mInFlight.empty()) {
@@ -114,7 +142,7 @@
 ReplicaLoad::FailureRatio(TimePoint aNow) const
 {
   const auto halvings = ToDoubleMilliseconds(aNow - mLastOutcomeAt) /
-                        ToDoubleMilliseconds(kFailureRatioHalfLife);
+                        ToDoubleMilliseconds(mPace.mFailureRatioHalfLife);
   return mFailureRatio * std::exp2(-halvings);
 }
 
@@ -144,7 +172,7 @@
 {
   const auto current = ExpectedLatency(aNow);
   const auto mean = std::min(current, std::max(mMeanLatency, mBestLatency));
-  mMeanLatency = mean + Scaled(aSample - mean, kLatencySampleWeight);
+  mMeanLatency = mean + Scaled(aSample - mean, mPace.mSampleWeight);
   mBestLatency = std::min(aSample, Scaled(mBestLatency, kBestLatencyGrowth));
   mLastSampleAt = aNow;
 }
@@ -154,7 +182,7 @@
 {
   const auto doublings = std::min<std::uint32_t>(mConsecutiveFailures, 6);
   ++mConsecutiveFailures;
-  mAvoidUntil = aNow + std::min(kMaxBackoff, aInitialBackoff * (1 << doublings));
+  mAvoidUntil = aNow + std::min(mPace.mMaxBackoff, aInitialBackoff * (1 << doublings));
 }
 
 } // namespace wasabispar
--- a/src/wasabispar/routing/replica_load_test.cpp
+++ b/src/wasabispar/routing/replica_load_test.cpp
@@ -107,3 +107,20 @@
   load.OnConnected();
   CHECK_FALSE(load.IsUnreachable());
 }
+
+/// Guards against a silent searcher that gets every request of a VM that sends few.
+TEST_CASE("at a low rate of requests a lost answer is remembered until the next ones")
+{
+  ReplicaLoad load(8ms);
+  load.SetRequestInterval(1500ms);
+  const TimePoint now{ 100s };
+  load.OnSent(1, now);
+  load.OnLost(1, now);
+  CHECK(load.IsAvoided(now + 2900ms));
+  CHECK_FALSE(load.IsAvoided(now + 3s));
+  for (ReplicaLoad::ExchangeId id = 2; id < 12; ++id) {
+    load.OnSent(id, now);
+    load.OnLost(id, now);
+  }
+  CHECK_FALSE(load.IsAvoided(now + 5s));
+}
--- a/tests/routing/service_replay.hpp
+++ b/tests/routing/service_replay.hpp
@@ -6,6 +6,7 @@
 #include "wasabispar/base/random.hpp"
 #include "wasabispar/routing/placement.hpp"
 #include "wasabispar/routing/replica_load.hpp"
+#include "wasabispar/routing/request_interval.hpp"
 
 #include <chrono>
 #include <cstddef>
@@ -70,14 +71,27 @@
     }
   }
 
+  /// @brief Changes the behaviour of a searcher from now on.
+  void SetModel(std::size_t aSearcher, const SearcherModel& aModel)
+  {
+    mModels[aSearcher] = aModel;
+  }
+
   /// @brief Sends @p aPerSecond requests per second for @p aLength of virtual time.
   ReplayResult Run(std::size_t aPerSecond, Duration aLength)
+  {
+    return RunEvery(Duration(std::chrono::seconds(1)) /
+                      static_cast<Duration::rep>(aPerSecond),
+                    aLength);
+  }
+
+  /// @brief Sends a request every @p aGap for @p aLength of virtual time.
+  ReplayResult RunEvery(Duration aGap, Duration aLength)
   {
     ReplayResult result;
-    const TimePoint start{ std::chrono::seconds(100) };
-    const auto gap =
-      Duration(std::chrono::seconds(1)) / static_cast<Duration::rep>(aPerSecond);
-    for (auto now = start; now < start + aLength; now += gap) {
+    const auto start = mNow;
+    for (; mNow < start + aLength; mNow += aGap) {
+      const auto now = mNow;
       CompleteDue(now);
       Send(now, result);
     }
@@ -113,8 +127,10 @@
 
   void Send(TimePoint aNow, ReplayResult& aResult)
   {
+    mInterval.OnRequest(aNow);
     std::vector<ReplicaCandidate> candidates;
     for (std::size_t i = 0; i < mLoads.size(); ++i) {
+      mLoads[i].SetRequestInterval(mInterval.Mean());
       candidates.push_back({ i, mLoads[i].ExpectedLatency(aNow),
                              mLoads[i].FailureRatio(aNow), mLoads[i].InFlight(), 4, 2,
                              mModels[i].mIsRemote, mLoads[i].IsAvoided(aNow) });
@@ -143,6 +159,8 @@
   RandomFn mRandom;
   std::vector<ReplicaLoad> mLoads;
   std::vector<Running> mRunning;
+  RequestInterval mInterval;
+  TimePoint mNow{ std::chrono::seconds(100) };
   ReplicaLoad::ExchangeId mNextId = 0;
 };
 
