Gateway: count the time for which a request waited for its worker

Change: LoopLag estimates from the delay of the worker's wake-up timer, which is due every 100 ms, how long an event may have waited. A request counts as arrived earlier by that time, less 150 ms, for its deadline, its objective and the log.

--- a/include/wasabispar/net/worker.hpp
+++ b/include/wasabispar/net/worker.hpp
@@ -29,6 +29,9 @@
   boost::asio::io_context& Context();
   /// @brief Timers whose callbacks run on this worker.
   TimerService& Timers();
+  /// @brief Longest time that the event that is being handled may have waited for this
+  /// worker; at most 100 ms of it are not counted. Must be called on this worker.
+  Duration Lag() const;
   /// @brief Schedules @p aFn on this worker. May be called from any thread.
   void Post(std::function<void()> aFn);
   /// @brief Runs @p aFn at once if called on this worker; otherwise calls Post().
--- a/src/wasabispar/gateway/gateway.cpp
+++ b/src/wasabispar/gateway/gateway.cpp
@@ -5,6 +5,8 @@
 #include "active_request.hpp"
 #include "wasabispar/base/log.hpp"
 
+#include <algorithm>
+
 namespace wasabispar {
 
 namespace {
@@ -12,6 +14,9 @@
 /// Period of ServicePool::Tick(), which opens and closes connections.
 constexpr Duration kTickPeriod = std::chrono::milliseconds(250);
 
+/// A lag of the worker up to this time is not taken off the time of a request.
+constexpr Duration kToleratedLag = std::chrono::milliseconds(150);
+
 constexpr auto kSendHelp = "Requests sent to upstreams, by purpose.";
 constexpr auto kDeniedHelp = "Extra sends that the budget for extra load denied.";
 constexpr auto kLatencyHelp = "Time from a request to its final answer, by route kind.";
@@ -121,7 +126,9 @@
 void
 Gateway::Handle(HttpRequest aRequest, HttpRespondFn aRespond)
 {
-  const auto now = BootClock::now();
+  // A request that waited for the worker arrived earlier. Its caller counts that time.
+  const auto arrivedAt =
+    BootClock::now() - std::max(Duration{}, mWorker.Lag() - kToleratedLag);
   auto request = mCallerProtocol.mDecode(std::move(aRequest));
   if (!request) {
     Refuse(nullptr, RefusalReason::BadRequest, aRespond);
@@ -137,9 +144,9 @@
     return;
   }
   const auto disconnectNotifier = request->mHttpRequest.mDisconnectNotifier;
-  const auto activeRequest =
-    std::make_shared<ActiveRequest>(*this, std::move(*request), mRoutes, *route,
-                                    ChooseServices(*route), std::move(aRespond), now);
+  const auto activeRequest = std::make_shared<ActiveRequest>(
+    *this, std::move(*request), mRoutes, *route, ChooseServices(*route),
+    std::move(aRespond), arrivedAt);
   mActiveRequests.insert(activeRequest);
   if (disconnectNotifier) {
     disconnectNotifier->Subscribe([weak = std::weak_ptr<ActiveRequest>(activeRequest)] {
--- /dev/null
+++ b/src/wasabispar/net/loop_lag_test.cpp
@@ -0,0 +1,45 @@
+/// @file
+/// @brief Tests of the lag of an event loop.
+#include "wasabispar/net/loop_lag.hpp"
+
+#include "wasabispar/net/worker.hpp"
+#include "worker_calls.hpp"
+
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <thread>
+
+using namespace wasabispar;
+using namespace std::chrono_literals;
+
+TEST_CASE("the lag is the delay of the wake-up timer until the loop has caught up")
+{
+  LoopLag lag;
+  const TimePoint due{ 100s };
+  CHECK(lag.At(due) == 0ms);
+  lag.OnScheduled(due);
+  CHECK(lag.At(due + 40ms) == 40ms);
+  lag.OnWake(due + 300ms);
+  lag.OnScheduled(due + 400ms);
+  CHECK(lag.At(due + 310ms) == 300ms);
+  lag.OnCaughtUp();
+  CHECK(lag.At(due + 310ms) == 0ms);
+}
+
+/// Guards against events that a busy worker handles late as if they were new, and against
+/// new events that are taken for late ones.
+TEST_CASE("a worker knows the lag of events that waited, and forgets it afterwards")
+{
+  Worker worker;
+  std::this_thread::sleep_for(50ms);
+  worker.Post([] { std::this_thread::sleep_for(400ms); });
+  Duration waited{};
+  RunAndWait(worker, [&] { waited = worker.Lag(); });
+  // The timer is set at most 100 ms ahead.
+  CHECK(waited >= 300ms);
+  std::this_thread::sleep_for(150ms);
+  Duration later{};
+  RunAndWait(worker, [&] { later = worker.Lag(); });
+  CHECK(later < 100ms);
+}
--- a/src/wasabispar/net/worker.cpp
+++ b/src/wasabispar/net/worker.cpp
@@ -2,6 +2,8 @@
 /// @brief Worker and WorkerPool on Boost.Asio.
 #include "wasabispar/net/worker.hpp"
 
+#include "wasabispar/net/loop_lag.hpp"
+
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
@@ -20,6 +22,12 @@
 /// Maximum interval between two runs of the timer service. A much longer interval means
 /// that the process was paused.
 constexpr Duration kMaxTimerInterval = std::chrono::milliseconds(100);
+/// A wake-up that is at most this late shows no waiting events.
+constexpr Duration kNegligibleLag = std::chrono::milliseconds(50);
+/// Passes of the event loop until the events that were ready at a late wake-up have been
+/// handled: to accept a connection, to read a request from it and to handle that request
+/// takes a pass each.
+constexpr int kCatchUpPasses = 8;
 
 } // namespace
 
@@ -31,26 +39,50 @@
   };
   TimerService mTimers{ [] { return BootClock::now(); } };
   asio::steady_timer mWakeTimer{ mContext };
+  LoopLag mLag;
   std::thread mThread;
 
   /// Sets mWakeTimer to the due time of the next timer, at most kMaxTimerInterval ahead.
   /// Runs on the worker.
   void ArmTimer()
   {
+    NoteWake();
     auto delay = kMaxTimerInterval;
     if (const auto due = mTimers.NextDue()) {
       delay =
         std::clamp<Duration>(*due - BootClock::now(), Duration{}, kMaxTimerInterval);
     }
+    mLag.OnScheduled(BootClock::now() + delay);
     mWakeTimer.expires_after(
       std::chrono::duration_cast<asio::steady_timer::duration>(delay));
     mWakeTimer.async_wait([this](boost::system::error_code aError) {
       if (!aError) {
+        NoteWake();
         mTimers.RunDue();
         ArmTimer();
       }
     });
   }
+
+  /// Records how late the worker wakes up.
+  void NoteWake()
+  {
+    const auto now = BootClock::now();
+    if (mLag.At(now) > kNegligibleLag) {
+      mLag.OnWake(now);
+      CatchUp(kCatchUpPasses);
+    }
+  }
+
+  /// Ends the lag of the last wake-up after @p aPasses passes of the event loop.
+  void CatchUp(int aPasses)
+  {
+    if (aPasses == 0) {
+      mLag.OnCaughtUp();
+      return;
+    }
+    asio::post(mContext, [this, aPasses] { CatchUp(aPasses - 1); });
+  }
 };
 
 Worker::Worker()
@@ -80,6 +112,12 @@
   return mState->mTimers;
 }
 
+Duration
+Worker::Lag() const
+{
+  return std::max(Duration{}, mState->mLag.At(BootClock::now()));
+}
+
 void
 Worker::Post(std::function<void()> aFn)
 {
--- a/tests/gateway/single_test.cpp
+++ b/tests/gateway/single_test.cpp
@@ -252,3 +252,30 @@
   OnWorker([this] { GatewayUnderTest().RefuseActiveRequests(); });
   CHECK(answer.get().mResponse.mBody == "lost");
 }
+
+/// Guards against an upstream that works for a caller that has left: a busy VM reads the
+/// request late, and must not state the time that was left when it was sent.
+TEST_CASE_FIXTURE(GatewayFixture,
+                  "the time for which a request waited is not stated as left")
+{
+  auto& upstream = Add("a", "a1");
+  SetRoutes({ MakeRoute("q", ServiceName("a")) });
+  CHECK(SendAndWait("/q/1", 900ms).mResponse.mStatus == 200);
+  CHECK(std::stol(upstream.LastTimeLeft()) > 800);
+  std::promise<void> isBusy;
+  std::thread blocker([&] {
+    OnWorker([&] {
+      isBusy.set_value();
+      std::this_thread::sleep_for(600ms);
+    });
+  });
+  isBusy.get_future().wait();
+  auto late = Send("/q/1", 900ms);
+  CHECK(late.get().mResponse.mStatus == 200);
+  blocker.join();
+  // 0.5 s more than the caller's time is the most that upstreams accept.
+  CHECK(std::stol(upstream.LastTimeLeft()) < 300 + 500);
+  std::this_thread::sleep_for(200ms);
+  CHECK(SendAndWait("/q/1", 900ms).mResponse.mStatus == 200);
+  CHECK(std::stol(upstream.LastTimeLeft()) > 800);
+}
