--- a/include/wasabispar/fleet/regional_quota.hpp
+++ b/include/wasabispar/fleet/regional_quota.hpp
@@ -15,6 +15,8 @@
 {
   VmId mVm;
   RegionId mRegion;
+
+  bool operator==(const QuotaHolder&) const = default;
 };
 
 /// @brief An upstream of a service and its region.
--- a/include/wasabispar/gateway/service_pool.hpp
+++ b/include/wasabispar/gateway/service_pool.hpp
@@ -115,8 +115,9 @@
   void SetExtraLoad(const ExtraLoadOptions& aOptions);
   /// @brief Calls ServicePoolOptions::mConnectionQuotas and applies the result.
   void UpdateQuotas();
-  /// @brief Adds, updates, replaces or removes an upstream.
-  void OnChange(const UpstreamChange& aChange);
+  /// @brief Adds, updates, replaces or removes an upstream. An added one has no quota
+  /// until UpdateQuotas() is called; returns whether that is necessary.
+  [[nodiscard]] bool OnChange(const UpstreamChange& aChange);
   /// @brief Opens and closes connections and starts waiting requests. To be called
   /// periodically.
   void Tick();
--- a/src/wasabispar/gateway/gateway.cpp
+++ b/src/wasabispar/gateway/gateway.cpp
@@ -219,6 +219,14 @@
 void
 Gateway::OnUpstreamChanges(const UpstreamDirectory::Changes& aChanges)
 {
+  std::set<ServicePool*> stalePools;
+  const auto apply = [this, &stalePools](const ServiceName& aService,
+                                         const UpstreamChange& aChange) {
+    auto& pool = PoolOf(aService);
+    if (pool.OnChange(aChange)) {
+      stalePools.insert(&pool);
+    }
+  };
   for (const auto& change : aChanges) {
     const auto& record = change.mRecord;
     LogEvent(LogLevel::Info, "upstream-changed",
@@ -228,14 +236,17 @@
                { "address", record.mAddress.Text() } });
     const auto existing = mServiceByUpstream.find(record.mId);
     if (existing != mServiceByUpstream.end() && existing->second != record.mService) {
-      PoolOf(existing->second).OnChange({ UpstreamChange::Kind::Removed, record });
+      apply(existing->second, { UpstreamChange::Kind::Removed, record });
     }
     if (change.mKind == UpstreamChange::Kind::Removed) {
       mServiceByUpstream.erase(record.mId);
     } else {
       mServiceByUpstream.insert_or_assign(record.mId, record.mService);
     }
-    PoolOf(record.mService).OnChange(change);
+    apply(record.mService, change);
+  }
+  for (auto* pool : stalePools) {
+    pool->UpdateQuotas();
   }
 }
 
--- a/src/wasabispar/gateway/service_pool.cpp
+++ b/src/wasabispar/gateway/service_pool.cpp
@@ -93,26 +93,25 @@
   mExtraLoad.SetOptions(aOptions);
 }
 
-void
+bool
 ServicePool::OnChange(const UpstreamChange& aChange)
 {
   const auto existing = Find(aChange.mRecord.mId);
   if (aChange.mKind == UpstreamChange::Kind::Removed) {
     if (existing) {
       Retire(existing);
-      UpdateQuotas();
     }
-    return;
+    return existing != nullptr;
   }
   if (existing && aChange.mKind != UpstreamChange::Kind::Replaced) {
     existing->mRecord = aChange.mRecord;
-    return;
+    return false;
   }
   if (existing) {
     Retire(existing);
   }
   mReplicas.push_back(Create(aChange.mRecord));
-  UpdateQuotas();
+  return true;
 }
 
 ReplicaPtr
