HTTP: bound bytes that are no answer, and skip interim responses

Causes, each shown by a test that failed before: - a chunk extension without end ended the process (SIGABRT) from an upstream's answer, and a caller's was buffered without a bound: Beast bounds neither it nor a trailer; - a trailer without end was read for 31 s, 10 GB, past the timeout of the exchange; - a body of up to 64 MiB was read from every upstream, on VMs of 160 MB; - a 1xx response ended the exchange and was taken for the answer; what followed stayed on the connection.

The buffer of a connection is bounded on both sides. Interim responses are skipped; 101 is not an answer. An exchange beyond a bound ends as ConnectionLost: the upstream counts as failing and an idempotent part is tried elsewhere.

--- a/include/wasabispar/gateway/gateway.hpp
+++ b/include/wasabispar/gateway/gateway.hpp
@@ -31,6 +31,8 @@
   /// caller, which includes the time that a small VM waits for its processor. The reserve
   /// is three tenths of the objective, up to this time.
   Duration mMaxCallerMargin = std::chrono::milliseconds(30);
+  /// Most bytes of the answers that are being read at the same time.
+  std::uint64_t mMaxResponseBytes = 32 * 1024 * 1024;
 };
 
 /// @brief Counters and histograms of the gateway.
--- a/include/wasabispar/gateway/service_pool.hpp
+++ b/include/wasabispar/gateway/service_pool.hpp
@@ -83,6 +83,8 @@
   std::function<std::vector<ConnectionQuota>(const std::vector<UpstreamRecord>&,
                                              std::uint32_t aMax)>
     mConnectionQuotas;
+  /// Bounds the answers of all services that are being read at the same time.
+  std::shared_ptr<ByteBudget> mResponseBudget;
 };
 
 /// @brief The result of ServicePool::Choose().
--- a/include/wasabispar/net/connection_pool.hpp
+++ b/include/wasabispar/net/connection_pool.hpp
@@ -57,6 +57,10 @@
   /// Delays after refused connections, to avoid flooding an unreachable or full upstream.
   ReconnectBackoffOptions mReconnect;
   FairQueueOptions mQueue;
+  HttpResponseLimits mResponseLimits;
+  /// Bounds the responses that this and other pools of the worker read at the same time;
+  /// null if there is no such bound.
+  std::shared_ptr<ByteBudget> mResponseBudget;
 };
 
 /// @brief Callbacks through which the owner of a pool sets its limits and observes its
--- a/include/wasabispar/net/http_client.hpp
+++ b/include/wasabispar/net/http_client.hpp
@@ -4,6 +4,7 @@
 
 #include "wasabispar/base/clock.hpp"
 #include "wasabispar/base/error.hpp"
+#include "wasabispar/net/byte_budget.hpp"
 #include "wasabispar/net/http_types.hpp"
 
 #include <cstdint>
@@ -46,6 +47,16 @@
   Cancelled,
 };
 
+/// @brief Bounds of one response. An exchange whose response exceeds one ends as
+/// ConnectionLost.
+struct HttpResponseLimits
+{
+  /// Most bytes of the header, and of what else is not the body: a chunk extension, the
+  /// trailer, all interim responses together.
+  std::uint32_t mMaxHeaderBytes = 32 * 1024;
+  std::uint64_t mMaxBodyBytes = 4 * 1024 * 1024;
+};
+
 /// @brief The result of an exchange.
 struct HttpExchangeResult
 {
@@ -68,8 +79,11 @@
   using OpenFn = std::function<void(bool aOpened, std::string aCause)>;
   using ExchangeFn = std::function<void(HttpExchangeResult)>;
 
-  static std::shared_ptr<HttpConnection> Create(boost::asio::io_context& aContext,
-                                                Endpoint aEndpoint);
+  /// @param aBudget bounds the bodies of all responses that are being read with it; null
+  /// if there is no such bound.
+  static std::shared_ptr<HttpConnection> Create(
+    boost::asio::io_context& aContext, Endpoint aEndpoint,
+    HttpResponseLimits aLimits = {}, std::shared_ptr<ByteBudget> aBudget = nullptr);
   virtual ~HttpConnection() = default;
 
   /// @brief Connects to the endpoint; fails if this takes longer than @p aTimeout.
@@ -93,6 +107,7 @@
 /// covers connecting and the exchange.
 void
 HttpFetch(boost::asio::io_context& aContext, const Endpoint& aEndpoint,
-          HttpRequest aRequest, Duration aTimeout, HttpConnection::ExchangeFn aDone);
+          HttpRequest aRequest, Duration aTimeout, HttpConnection::ExchangeFn aDone,
+          HttpResponseLimits aLimits = {});
 
 } // namespace wasabispar
--- a/src/wasabispar/gateway/gateway.cpp
+++ b/src/wasabispar/gateway/gateway.cpp
@@ -113,6 +113,8 @@
   , mUpstreamProtocol(std::move(aUpstreams))
   , mMetrics(aMetrics)
 {
+  mOptions.mPools.mResponseBudget =
+    std::make_shared<ByteBudget>(mOptions.mMaxResponseBytes);
   mTickTimer = mWorker.Timers().Every(kTickPeriod, [this] {
     for (const auto& [name, pool] : mPools) {
       pool->Tick();
--- a/src/wasabispar/gateway/service_pool.cpp
+++ b/src/wasabispar/gateway/service_pool.cpp
@@ -3,6 +3,7 @@
 #include "wasabispar/gateway/service_pool.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace wasabispar {
 
@@ -17,7 +18,7 @@
 
 /// The options of the connection pool of each upstream.
 ConnectionPoolOptions
-PoolOptions()
+PoolOptions(std::shared_ptr<ByteBudget> aResponseBudget)
 {
   ConnectionPoolOptions options;
   options.mIdleTimeout = std::chrono::seconds(2);
@@ -25,6 +26,7 @@
   options.mOpenTimeout = std::chrono::milliseconds(400);
   options.mReconnect.mInitial = std::chrono::milliseconds(250);
   options.mQueue.mMaxLengthPerCaller = 64;
+  options.mResponseBudget = std::move(aResponseBudget);
   return options;
 }
 
@@ -165,8 +167,8 @@
   const auto endpoint =
     HandleError([&] { return Endpoint::Parse(aRecord.mAddress.Text()); },
                 [](const Error&) { return Endpoint{}; });
-  replica->mConnectionPool =
-    std::make_shared<ConnectionPool>(mContext, endpoint, PoolOptions(), std::move(hooks));
+  replica->mConnectionPool = std::make_shared<ConnectionPool>(
+    mContext, endpoint, PoolOptions(mOptions.mResponseBudget), std::move(hooks));
   return replica;
 }
 
--- a/src/wasabispar/net/connection_pool.cpp
+++ b/src/wasabispar/net/connection_pool.cpp
@@ -283,7 +283,8 @@
 {
   ++mOpeningCount;
   PooledConnection connection;
-  connection.mHttp = HttpConnection::Create(mContext, mEndpoint);
+  connection.mHttp = HttpConnection::Create(mContext, mEndpoint, mOptions.mResponseLimits,
+                                            mOptions.mResponseBudget);
   connection.mId = mNextConnectionId++;
   const auto http = connection.mHttp;
   http->Open(mOptions.mOpenTimeout,
--- a/src/wasabispar/net/http_client.cpp
+++ b/src/wasabispar/net/http_client.cpp
@@ -2,6 +2,8 @@
 /// @brief Endpoint, HttpConnection and HttpFetch(), on Boost.Beast.
 #include "wasabispar/net/http_client.hpp"
 
+#include "wasabispar/net/budgeted_body.hpp"
+
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -26,9 +28,8 @@
 
 namespace {
 
-/// Maximum size of a response body. A response of the platform holds several values of up
-/// to 1 MB each.
-constexpr std::uint64_t kMaxResponseBytes = 64ULL * 1024 * 1024;
+/// The buffer holds at most the header and one read of the body.
+constexpr std::size_t kMaxReadBytes = 64 * 1024;
 
 /// Subtracted from the idle timeout announced by the peer, because shortly before its end
 /// the peer's close may already be on the way.
@@ -80,9 +81,13 @@
 class HttpConnectionImpl final : public HttpConnection
 {
 public:
-  HttpConnectionImpl(asio::io_context& aContext, Endpoint aEndpoint)
+  HttpConnectionImpl(asio::io_context& aContext, Endpoint aEndpoint,
+                     HttpResponseLimits aLimits, std::shared_ptr<ByteBudget> aBudget)
     : mEndpoint(std::move(aEndpoint))
+    , mLimits(aLimits)
+    , mBudget(std::move(aBudget))
     , mStream(aContext)
+    , mBuffer(aLimits.mMaxHeaderBytes + kMaxReadBytes)
   {
   }
 
@@ -120,6 +125,8 @@
 
 private:
   const Endpoint mEndpoint;
+  const HttpResponseLimits mLimits;
+  const std::shared_ptr<ByteBudget> mBudget;
   std::atomic<bool> mIsUsable{ false };
   std::atomic<bool> mIsClosing{ false };
 
@@ -128,7 +135,9 @@
   beast::tcp_stream mStream;
   beast::flat_buffer mBuffer;
   http::request<http::string_body> mRequest;
-  std::optional<http::response_parser<http::string_body>> mParser;
+  std::optional<http::response_parser<BudgetedBody>> mParser;
+  /// Bytes read so far that are not part of a body.
+  std::uint64_t mOverheadBytes = 0;
   ExchangeFn mDone;
   /// Whether the whole request has been written to the socket.
   bool mIsRequestWritten = false;
@@ -188,9 +197,7 @@
       return;
     }
     mRequest = ToBeast(std::move(aRequest), mEndpoint);
-    mParser.emplace();
-    mParser->body_limit(kMaxResponseBytes);
-    mParser->skip(mRequest.method() == http::verb::head);
+    mOverheadBytes = 0;
     mIsRequestWritten = false;
     mStream.expires_after(aTimeout);
     http::async_write(mStream, mRequest,
@@ -206,16 +213,45 @@
 
   void ReadResponse()
   {
-    http::async_read(mStream, mBuffer, *mParser,
-                     [self = Self()](beast::error_code aError, std::size_t) {
-                       if (aError) {
-                         self->FailExchange(aError);
-                         return;
-                       }
-                       self->CompleteExchange();
-                     });
+    mParser.emplace();
+    mParser->header_limit(mLimits.mMaxHeaderBytes);
+    mParser->body_limit(mLimits.mMaxBodyBytes);
+    mParser->skip(mRequest.method() == http::verb::head);
+    mParser->get().body().mReservation = ByteBudget::Reservation(mBudget);
+    ReadSome();
+  }
+
+  /// Reads in steps, so that bytes which are not part of a body are bounded as well.
+  void ReadSome()
+  {
+    http::async_read_some(mStream, mBuffer, *mParser,
+                          [self = Self()](beast::error_code aError, std::size_t aBytes) {
+                            self->OnRead(aError, aBytes);
+                          });
   }
 
+  void OnRead(beast::error_code aError, std::size_t aBytes)
+  {
+    auto& body = mParser->get().body();
+    const auto bodyBytes =
+      body.mText.size() - std::exchange(body.mCountedBytes, body.mText.size());
+    mOverheadBytes += aBytes - std::min(aBytes, bodyBytes);
+    if (aError) {
+      FailExchange(aError);
+    } else if (mOverheadBytes > mLimits.mMaxHeaderBytes + body.mText.size()) {
+      EndExchange(HttpExchangeEnd::ConnectionLost, "too many bytes beside the body");
+    } else if (!mParser->is_done()) {
+      ReadSome();
+    } else if (IsInterim()) {
+      ReadResponse();
+    } else {
+      CompleteExchange();
+    }
+  }
+
+  /// Whether the response is followed by the answer.
+  bool IsInterim() const { return mParser->get().result_int() < 200; }
+
   void CompleteExchange()
   {
     mStream.expires_never();
@@ -235,7 +271,7 @@
       result.mResponse.mHeaders.push_back(
         { std::string(field.name_string()), std::string(field.value()) });
     }
-    result.mResponse.mBody = std::move(message.body());
+    result.mResponse.mBody = std::move(message.body().mText);
     std::exchange(mDone, nullptr)(std::move(result));
   }
 
@@ -255,6 +291,7 @@
   {
     mIsUsable = false;
     mStream.close();
+    mParser.reset();
     std::exchange(mDone, nullptr)(HttpExchangeResult{ aEnd, {}, std::move(aCause) });
   }
 };
@@ -287,16 +324,18 @@
 }
 
 std::shared_ptr<HttpConnection>
-HttpConnection::Create(asio::io_context& aContext, Endpoint aEndpoint)
+HttpConnection::Create(asio::io_context& aContext, Endpoint aEndpoint,
+                       HttpResponseLimits aLimits, std::shared_ptr<ByteBudget> aBudget)
 {
-  return std::make_shared<HttpConnectionImpl>(aContext, std::move(aEndpoint));
+  return std::make_shared<HttpConnectionImpl>(aContext, std::move(aEndpoint), aLimits,
+                                              std::move(aBudget));
 }
 
 void
 HttpFetch(asio::io_context& aContext, const Endpoint& aEndpoint, HttpRequest aRequest,
-          Duration aTimeout, HttpConnection::ExchangeFn aDone)
+          Duration aTimeout, HttpConnection::ExchangeFn aDone, HttpResponseLimits aLimits)
 {
-  const auto connection = HttpConnection::Create(aContext, aEndpoint);
+  const auto connection = HttpConnection::Create(aContext, aEndpoint, aLimits);
   const auto deadline = BootClock::now() + aTimeout;
   connection->Open(
     aTimeout, [connection, deadline, request = std::move(aRequest),
--- a/src/wasabispar/net/http_server.cpp
+++ b/src/wasabispar/net/http_server.cpp
@@ -31,6 +31,9 @@
 constexpr auto kIdleTimeoutAfterStop = std::chrono::milliseconds(500);
 
 constexpr std::size_t kReadChunkBytes = 4096;
+/// The buffer of a connection holds at most the header and one read of the body, which
+/// also bounds a chunk extension and a trailer.
+constexpr std::size_t kMaxReadBytes = 64 * 1024;
 
 } // namespace
 
@@ -218,6 +221,7 @@
     mParser.emplace();
     mParser->header_limit(static_cast<std::uint32_t>(options.mMaxHeaderBytes));
     mParser->body_limit(options.mMaxBodyBytes);
+    mBuffer.max_size(options.mMaxHeaderBytes + kMaxReadBytes);
     mStream.expires_never();
     ArmReadTimer(options.mReadTimeout);
     http::async_read(mStream, mBuffer, *mParser,
--- a/src/wasabispar/net/http_test.cpp
+++ b/src/wasabispar/net/http_test.cpp
@@ -113,6 +113,58 @@
                                              "body-too-large", "read-timeout" });
 }
 
+/// Guards against a caller whose endless bytes end the process, which buffers them.
+TEST_CASE("a request without end is cut off after a bounded number of bytes")
+{
+  constexpr std::size_t kSocketBufferBytes = 12 * 1024 * 1024;
+  const std::string chunkedHead = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  std::string first;
+  std::string repeated(1000, 'a');
+  SUBCASE("no line end") {}
+  SUBCASE("header fields")
+  {
+    first = "GET / HTTP/1.1\r\n";
+    repeated = "X-Field: " + repeated + "\r\n";
+  }
+  SUBCASE("chunks")
+  {
+    first = chunkedHead;
+    repeated = "3e8\r\n" + repeated + "\r\n";
+  }
+  SUBCASE("a chunk extension")
+  {
+    first = chunkedHead + "5;x=";
+  }
+  SUBCASE("a trailer")
+  {
+    first = chunkedHead + "0\r\n";
+    repeated = "X-Field: " + repeated + "\r\n";
+  }
+  Worker worker;
+  HttpServerOptions options;
+  options.mMaxBodyBytes = 256 * 1024;
+  options.mReadTimeout = 30s;
+  std::atomic<int> handled = 0;
+  HttpServer server({ &worker.mContext }, options,
+                    [&handled](HttpRequest, HttpRespondFn aRespond) {
+                      ++handled;
+                      aRespond({});
+                    });
+  REQUIRE(server.Start());
+  asio::io_context context;
+  asio::ip::tcp::socket socket(context);
+  socket.connect({ asio::ip::make_address("127.0.0.1"), server.Port() });
+  boost::system::error_code error;
+  std::size_t sent = asio::write(socket, asio::buffer(first), error);
+  while (!error && sent < 10 * kSocketBufferBytes) {
+    sent += asio::write(socket, asio::buffer(repeated), error);
+  }
+  CHECK(sent < kSocketBufferBytes);
+  CHECK(handled == 0);
+  // The server serves on.
+  CHECK(Fetch(worker, server.Port(), {}).mEnd == HttpExchangeEnd::Response);
+}
+
 /// Guards against a caller that sees its connection closed before the operator's counters
 /// say why. The report takes long enough that a close before its end is noticed.
 TEST_CASE("a request that is read too slowly is reported before its connection closes")
--- a/src/wasabispar/net/platform_client.cpp
+++ b/src/wasabispar/net/platform_client.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+/// An answer holds many values of up to 1 MB each.
+constexpr HttpResponseLimits kLimits{ 32 * 1024, 64 * 1024 * 1024 };
+
 /// The platform normally answers within milliseconds, so a request that takes this long
 /// has failed.
 constexpr auto kCallTimeout = std::chrono::seconds(2);
@@ -162,7 +165,8 @@
     mContext, mPlatform, std::move(request), aTimeout,
     [peer = mPlatform.Text(), done = std::move(aDone)](HttpExchangeResult aResult) {
       Deliver<PlatformValues>(aResult, peer, ParsePlatformValues, done);
-    });
+    },
+    kLimits);
 }
 
 void
@@ -193,7 +197,8 @@
     mContext, mPlatform, std::move(request), kCallTimeout,
     [peer = mPlatform.Text(), done = std::move(aDone), body](HttpExchangeResult aResult) {
       Deliver<std::string>(aResult, peer, body, done);
-    });
+    },
+    kLimits);
 }
 
 } // namespace wasabispar
