Tests: an answer that an upstream sends twice reaches nobody else

The fault that operators told us of: a second copy of an answer, late, on a connection that is in use again. Looked for with an upstream that sends each answer twice in one packet, and one that sends the previous answer again where the next one is expected. It can't happen where answers name their request: HttpConnection closes a connection with surplus bytes, and UpstreamProtocol::mDecode rejects another id.

--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -99,6 +99,18 @@
   return protocol;
 }
 
+/// The bytes of a response with status 200.
+std::string
+ToBytes(const HttpResponse& aResponse)
+{
+  std::string bytes = "HTTP/1.1 200 OK\r\n";
+  for (const auto& header : aResponse.mHeaders) {
+    bytes += header.mName + ": " + header.mValue + "\r\n";
+  }
+  return bytes + "Content-Length: " + std::to_string(aResponse.mBody.size()) +
+         "\r\n\r\n" + aResponse.mBody;
+}
+
 } // namespace
 
 FakeUpstream::FakeUpstream(Worker& aWorker, std::string aId)
@@ -193,6 +205,10 @@
     case FakeBehaviour::Fail:
       response.mStatus = 500;
       break;
+    case FakeBehaviour::AnswerTwice:
+    case FakeBehaviour::RepeatPrevious:
+      AnswerAgain(aExchange, response);
+      return;
     case FakeBehaviour::Answer:
     case FakeBehaviour::Silent:
       break;
@@ -200,6 +216,17 @@
   aExchange->Respond(std::move(response));
 }
 
+void
+FakeUpstream::AnswerAgain(const standins::ExchangePtr& aExchange,
+                          const HttpResponse& aResponse)
+{
+  const auto bytes = ToBytes(aResponse);
+  auto& last = mLastAnswerByPeer[aExchange->Request().mPeer];
+  const auto first = mBehaviour == FakeBehaviour::AnswerTwice ? bytes : last;
+  last = bytes;
+  aExchange->RespondRaw(first + bytes, true);
+}
+
 GatewayFixture::GatewayFixture(QuotasFn aQuotas)
 {
   GatewayOptions options;
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -30,6 +30,11 @@
   Silent,
   /// Answers with the request id of another request.
   WrongRequestId,
+  /// Sends each answer twice, in one packet.
+  AnswerTwice,
+  /// Sends the answer to the previous request of the connection once more, before the
+  /// answer to this one.
+  RepeatPrevious,
   /// Replies that the address belongs to another upstream.
   WrongUpstream,
   /// Runs the request and replies that it failed.
@@ -69,6 +74,8 @@
 private:
   void Handle(const standins::ExchangePtr& aExchange);
   void Answer(const standins::ExchangePtr& aExchange);
+  /// Answers more than once, by mBehaviour.
+  void AnswerAgain(const standins::ExchangePtr& aExchange, const HttpResponse& aResponse);
 
   Worker& mWorker;
   std::string mId;
@@ -84,6 +91,8 @@
   std::string mLastTimeLeft;
   /// Number of requests by address of the connection's peer.
   std::map<std::string, int> mRequestsByPeer;
+  /// The bytes of the last answer by address of the connection's peer.
+  std::map<std::string, std::string> mLastAnswerByPeer;
 };
 
 /// @brief The response to a request and the time it took.
