HTTP server: keep connections that were accepted while the listener closes; wait after a failed accept

Change: the handler starts a session for each connection that was accepted, and accepts on only while the listener is open; after an error it waits 20 ms.

--- a/src/wasabispar/net/http_server.cpp
+++ b/src/wasabispar/net/http_server.cpp
@@ -30,6 +30,11 @@
 /// to arrive.
 constexpr auto kIdleTimeoutAfterStop = std::chrono::milliseconds(500);
 
+/// Delay before the next connection is accepted when an accept failed, for example
+/// because the process has no descriptor left. Until then the connections wait in the
+/// backlog.
+constexpr auto kAcceptRetryDelay = std::chrono::milliseconds(20);
+
 constexpr std::size_t kReadChunkBytes = 4096;
 /// The buffer of a connection holds at most the header and one read of the body, which
 /// also bounds a chunk extension and a trailer.
@@ -58,6 +63,7 @@
 
   /// After Start(), used only on worker 0.
   std::optional<tcp::acceptor> mAcceptor;
+  std::optional<asio::steady_timer> mAcceptRetryTimer;
 
   HttpServerOptions Options() const
   {
@@ -65,6 +71,8 @@
     return mOptions;
   }
   void Accept();
+  /// Calls Accept() after kAcceptRetryDelay.
+  void AcceptLater();
   void StartSession(tcp::socket aSocket);
   /// Starts sessions for the connections in the listen backlog and closes the listener.
   void AcceptBacklogAndClose();
@@ -403,13 +411,29 @@
 {
   mAcceptor->async_accept(NextWorker(), [self = shared_from_this()](
                                           beast::error_code aError, tcp::socket aSocket) {
+    // The listener may have been closed after this connection was accepted.
+    if (!aError) {
+      self->StartSession(std::move(aSocket));
+    }
     if (!self->mAcceptor || !self->mAcceptor->is_open()) {
       return;
     }
-    if (!aError) {
-      self->StartSession(std::move(aSocket));
+    if (aError) {
+      self->AcceptLater();
+    } else {
+      self->Accept();
+    }
+  });
+}
+
+void
+HttpServer::State::AcceptLater()
+{
+  mAcceptRetryTimer->expires_after(kAcceptRetryDelay);
+  mAcceptRetryTimer->async_wait([self = shared_from_this()](beast::error_code aError) {
+    if (!aError && self->mAcceptor->is_open()) {
+      self->Accept();
     }
-    self->Accept();
   });
 }
 
@@ -454,6 +478,7 @@
     }
   }
   mAcceptor->close(error);
+  mAcceptRetryTimer->cancel();
 }
 
 std::vector<std::shared_ptr<HttpSession>>
@@ -499,6 +524,7 @@
     return Fail({ Step::Settings, addressText, Outcome::NotRun, "not an IP address" });
   }
   const tcp::endpoint endpoint(address, options.mPort);
+  mState->mAcceptRetryTimer.emplace(*mState->mWorkers.front());
   auto& acceptor = mState->mAcceptor.emplace(*mState->mWorkers.front());
   acceptor.open(endpoint.protocol(), error);
   if (!error) {
--- a/src/wasabispar/net/http_test.cpp
+++ b/src/wasabispar/net/http_test.cpp
@@ -11,6 +11,10 @@
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <algorithm>
 #include <atomic>
 #include <future>
 #include <thread>
@@ -165,6 +169,74 @@
   CHECK(Fetch(worker, server.Port(), {}).mEnd == HttpExchangeEnd::Response);
 }
 
+namespace {
+
+/// Takes all descriptors of the process until it is destroyed.
+class DescriptorShortage
+{
+public:
+  DescriptorShortage()
+  {
+    ::getrlimit(RLIMIT_NOFILE, &mOldLimit);
+    auto limit = mOldLimit;
+    limit.rlim_cur = std::min<rlim_t>(limit.rlim_cur, 256);
+    ::setrlimit(RLIMIT_NOFILE, &limit);
+    for (int descriptor = ::dup(0); descriptor >= 0; descriptor = ::dup(0)) {
+      mDescriptors.push_back(descriptor);
+    }
+  }
+  ~DescriptorShortage()
+  {
+    for (const auto descriptor : mDescriptors) {
+      ::close(descriptor);
+    }
+    ::setrlimit(RLIMIT_NOFILE, &mOldLimit);
+  }
+
+private:
+  rlimit mOldLimit{};
+  std::vector<int> mDescriptors;
+};
+
+/// Processor time that the process has used.
+std::chrono::microseconds
+ProcessorTime()
+{
+  rusage usage{};
+  ::getrusage(RUSAGE_SELF, &usage);
+  const auto toDuration = [](const timeval& aTime) {
+    return std::chrono::seconds(aTime.tv_sec) + std::chrono::microseconds(aTime.tv_usec);
+  };
+  return toDuration(usage.ru_utime) + toDuration(usage.ru_stime);
+}
+
+} // namespace
+
+/// Guards against a server that spins, or never accepts again, when an accept fails.
+TEST_CASE("a server without descriptors waits, and serves when it has some again")
+{
+  Worker worker;
+  HttpServer server({ &worker.mContext }, {},
+                    [](HttpRequest, HttpRespondFn aRespond) { aRespond({}); });
+  REQUIRE(server.Start());
+  asio::io_context context;
+  asio::ip::tcp::socket socket(context, asio::ip::tcp::v4());
+  boost::system::error_code error;
+  {
+    const DescriptorShortage shortage;
+    socket.connect({ asio::ip::address_v4::loopback(), server.Port() }, error);
+    REQUIRE(!error);
+    const auto before = ProcessorTime();
+    std::this_thread::sleep_for(500ms);
+    CHECK(ProcessorTime() - before < 200ms);
+  }
+  const std::string request = "GET / HTTP/1.1\r\nConnection: close\r\n\r\n";
+  asio::write(socket, asio::buffer(request), error);
+  std::string answer;
+  asio::read(socket, asio::dynamic_buffer(answer), error);
+  CHECK(answer.starts_with("HTTP/1.1 200"));
+}
+
 /// Guards against a caller that sees its connection closed before the operator's counters
 /// say why. The report takes long enough that a close before its end is noticed.
 TEST_CASE("a request that is read too slowly is reported before its connection closes")
