--- a/src/wasabispar/net/connection_pool_test.cpp
+++ b/src/wasabispar/net/connection_pool_test.cpp
@@ -220,8 +220,8 @@
   CHECK(ended == 50);
 }
 
-/// Guards against an upstream that is lost for good: nobody else opens a connection to it
-/// when the pool keeps none open and requests are sent elsewhere.
+/// Guards against an upstream that is lost for good: nothing else opens a connection to
+/// it when the pool keeps none open and requests are sent elsewhere.
 TEST_CASE_FIXTURE(Fixture, "a pool without a minimum reopens after a refused connection")
 {
   std::uint16_t port = 0;
--- a/src/wasabispar/net/http_client_test.cpp
+++ b/src/wasabispar/net/http_client_test.cpp
@@ -188,7 +188,7 @@
   CHECK(result.mResponse.Header("Link").empty());
 }
 
-/// Guards against a change of protocol that nobody asked for.
+/// Guards against a change of protocol that was not requested.
 TEST_CASE("a switch of protocols is not an answer")
 {
   ScriptedServer server("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n", "");
--- a/tests/gateway/late_answer_test.cpp
+++ b/tests/gateway/late_answer_test.cpp
@@ -47,7 +47,8 @@
 
 } // namespace
 
-TEST_CASE_FIXTURE(OneUpstream, "a second copy in the packet of an answer reaches nobody")
+TEST_CASE_FIXTURE(OneUpstream,
+                  "a second copy in the packet of an answer is not delivered")
 {
   SetBehaviour(FakeBehaviour::AnswerTwice);
   for (int i = 1; i <= 20; ++i) {
@@ -83,7 +84,7 @@
 
 /// The answer to a request whose caller has left, or that was answered by a hedge, must
 /// not reach the next request.
-TEST_CASE_FIXTURE(OneUpstream, "the answer to an abandoned request reaches nobody")
+TEST_CASE_FIXTURE(OneUpstream, "the answer to an abandoned request is not delivered")
 {
   OnWorker([this] { mUpstream.mDelay = 100ms; });
   for (int i = 1; i <= 10; i += 2) {
