--- a/include/wasabispar/net/budgeted_body.hpp
+++ b/include/wasabispar/net/budgeted_body.hpp
@@ -20,6 +20,8 @@
 /// with `body_limit` when the budget is used up.
 struct BudgetedBody
 {
+  // The names are those that Beast requires.
+  // NOLINTBEGIN(readability-identifier-naming)
   struct value_type
   {
     std::string mText;
@@ -64,6 +66,7 @@
   private:
     value_type& mBody;
   };
+  // NOLINTEND(readability-identifier-naming)
 };
 
 } // namespace wasabispar
