--- a/include/wasabispar/net/http_client.hpp
+++ b/include/wasabispar/net/http_client.hpp
@@ -51,8 +51,8 @@
 /// ConnectionLost.
 struct HttpResponseLimits
 {
-  /// Most bytes of the header, and of what else is not the body: a chunk extension, the
-  /// trailer, all interim responses together.
+  /// Most bytes of the header, the trailer, chunk extensions and all interim responses
+  /// together, beyond the usual framing of chunks.
   std::uint32_t mMaxHeaderBytes = 32 * 1024;
   std::uint64_t mMaxBodyBytes = 4 * 1024 * 1024;
 };
--- a/src/wasabispar/net/http_client.cpp
+++ b/src/wasabispar/net/http_client.cpp
@@ -31,6 +31,10 @@
 /// The buffer holds at most the header and one read of the body.
 constexpr std::size_t kMaxReadBytes = 64 * 1024;
 
+/// Bytes that frame one byte of a body: a chunk of one byte has five, a longer chunk less
+/// for each byte.
+constexpr std::uint64_t kMaxChunkOverhead = 8;
+
 /// Subtracted from the idle timeout announced by the peer, because shortly before its end
 /// the peer's close may already be on the way.
 constexpr Duration kKeepAliveMargin = std::chrono::milliseconds(500);
@@ -233,12 +237,14 @@
   void OnRead(beast::error_code aError, std::size_t aBytes)
   {
     auto& body = mParser->get().body();
-    const auto bodyBytes =
-      body.mText.size() - std::exchange(body.mCountedBytes, body.mText.size());
+    const auto bodyBytes = body.mText.size() - body.mCountedBytes;
+    body.mCountedBytes = body.mText.size();
     mOverheadBytes += aBytes - std::min(aBytes, bodyBytes);
+    const auto maxOverheadBytes =
+      mLimits.mMaxHeaderBytes + kMaxChunkOverhead * body.mText.size();
     if (aError) {
       FailExchange(aError);
-    } else if (mOverheadBytes > mLimits.mMaxHeaderBytes + body.mText.size()) {
+    } else if (mOverheadBytes > maxOverheadBytes) {
       EndExchange(HttpExchangeEnd::ConnectionLost, "too many bytes beside the body");
     } else if (!mParser->is_done()) {
       ReadSome();
--- a/src/wasabispar/net/http_client_test.cpp
+++ b/src/wasabispar/net/http_client_test.cpp
@@ -174,6 +174,19 @@
   CHECK(server.SentBytes() < kSocketBufferBytes);
 }
 
+/// Guards against a bound on framing that rejects an answer in small chunks.
+TEST_CASE("an answer in chunks of one byte is complete")
+{
+  std::string bytes = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (int i = 0; i < 40'000; ++i) {
+    bytes += "1\r\na\r\n";
+  }
+  ScriptedServer server(bytes + "0\r\n\r\n", "");
+  const auto result = Exchange(server);
+  REQUIRE(result.mEnd == HttpExchangeEnd::Response);
+  CHECK(result.mResponse.mBody == std::string(40'000, 'a'));
+}
+
 /// Guards against an interim response that is passed on as the answer.
 TEST_CASE("an interim response is skipped")
 {
