Pool: make a request when it is sent; fail queued ones when the upstream refuses

The time left was written into the request when it was given to the pool, where it waited for a connection.

Change: PooledRequest::mMakeRequest makes the request right before it is sent. When the last connection of a pool is refused, the queued requests end as not sent and are placed elsewhere.

Tests: a request that waits for a connection is made when it is sent (failed before: it is not made at all); 50 requests to an upstream that resets all end without a stop of the pool.

--- a/include/wasabispar/net/connection_pool.hpp
+++ b/include/wasabispar/net/connection_pool.hpp
@@ -24,6 +24,9 @@
 {
   CallerId mCaller;
   HttpRequest mRequest;
+  /// Makes the request to send, right before it is sent, because a request that states
+  /// the time left may wait for a connection. If empty, mRequest is sent.
+  std::function<HttpRequest(TimePoint)> mMakeRequest;
   /// When this time is reached, a running exchange ends as TimedOut and a queued request
   /// as Cancelled. A request submitted later ends as ConnectFailed.
   TimePoint mDeadline;
--- a/src/wasabispar/gateway/active_request.cpp
+++ b/src/wasabispar/gateway/active_request.cpp
@@ -204,8 +204,11 @@
   aReplica->mLoad.OnSent(exchange, now);
 
   PooledRequest pooled;
-  pooled.mRequest = mGateway.mUpstreamProtocol.mEncode(mRequest, aReplica->mRecord.mId,
-                                                       mFanOutState.Deadline() - now);
+  pooled.mMakeRequest = [self = shared_from_this(),
+                         id = aReplica->mRecord.mId](TimePoint aSentAt) {
+    return self->mGateway.mUpstreamProtocol.mEncode(
+      self->mRequest, id, self->mFanOutState.Deadline() - aSentAt);
+  };
   pooled.mDeadline = mFanOutState.Deadline();
   pooled.mMayReuse = [self = shared_from_this()](const HttpResponse& aResponse) {
     return self->mGateway.mUpstreamProtocol.mMayReuse(self->mRequest, aResponse);
--- a/src/wasabispar/net/connection_pool.cpp
+++ b/src/wasabispar/net/connection_pool.cpp
@@ -90,6 +90,10 @@
   if (mHooks.mOnRefused) {
     mHooks.mOnRefused();
   }
+  // Nothing is opened during the backoff, so queued requests must not wait for it.
+  if (ConnectionCount() == 0) {
+    FailQueued("upstream refused connections");
+  }
 }
 
 /// Ends the backoff if an idle connection has lasted longer than a refused one would.
@@ -231,7 +235,9 @@
   }
   const auto left =
     std::max<Duration>(request.mDeadline - now, std::chrono::milliseconds(1));
-  connection->Exchange(std::move(request.mRequest), left,
+  auto message =
+    request.mMakeRequest ? request.mMakeRequest(now) : std::move(request.mRequest);
+  connection->Exchange(std::move(message), left,
                        [weak = weak_from_this(), handle](HttpExchangeResult aResult) {
                          if (const auto self = weak.lock()) {
                            self->OnExchangeEnd(handle, std::move(aResult));
--- a/src/wasabispar/net/connection_pool_test.cpp
+++ b/src/wasabispar/net/connection_pool_test.cpp
@@ -212,12 +212,13 @@
     });
     std::this_thread::sleep_for(10ms);
   }
+  std::this_thread::sleep_for(50ms);
+  // Each ends at once, so that it can be sent elsewhere, and waits for no backoff.
+  CHECK(ended == 50);
   OnWorker([&] {
-    mPool->Stop();
     CHECK(listener->Accepted() <= 4);
     listener->Close();
   });
-  CHECK(ended == 50);
 }
 
 /// Guards against an upstream that is lost for good: nothing else opens a connection to
@@ -253,3 +254,35 @@
   }
   CHECK(open == 1);
 }
+
+/// Guards against an upstream that works for a caller that has left: a request states the
+/// time left, and may wait for a connection before it is sent.
+TEST_CASE_FIXTURE(Fixture, "a request is made when it is sent, not when it is submitted")
+{
+  Create(0ms, 1);
+  constexpr int kRequests = 12;
+  std::vector<std::promise<Duration>> waits(kRequests);
+  std::vector<std::promise<HttpExchangeEnd>> ends(kRequests);
+  OnWorker([&] {
+    const auto submittedAt = BootClock::now();
+    for (int i = 0; i < kRequests; ++i) {
+      PooledRequest request;
+      request.mDeadline = submittedAt + 2s;
+      auto& wait = waits[static_cast<std::size_t>(i)];
+      request.mMakeRequest = [&wait, submittedAt](TimePoint aSentAt) {
+        wait.set_value(aSentAt - submittedAt);
+        return HttpRequest{};
+      };
+      auto& end = ends[static_cast<std::size_t>(i)];
+      request.mDone = [&end](const HttpExchangeResult& aResult, bool) {
+        end.set_value(aResult.mEnd);
+      };
+      mPool->Submit(static_cast<ConnectionPool::Handle>(i + 1), std::move(request));
+    }
+  });
+  for (auto& end : ends) {
+    CHECK(end.get_future().get() == HttpExchangeEnd::Response);
+  }
+  // Four at a time, 20 ms each.
+  CHECK(waits.back().get_future().get() >= 40ms);
+}
