--- a/include/wasabispar/routing/upstream_directory.hpp
+++ b/include/wasabispar/routing/upstream_directory.hpp
@@ -70,6 +70,15 @@
   Revision mRevision;
 };
 
+/// @brief The removal of an entry of the registry.
+struct RegistryRemoval
+{
+  UpstreamId mId;
+  /// Revision of the registry at which the entry was removed. For an entry that a
+  /// complete read does not contain, the revision of the read.
+  Revision mRevision;
+};
+
 /// @brief The upstreams according to the registry. Not thread-safe.
 ///
 /// Registry entries expire while the registry is unavailable, and the upstreams register
@@ -85,9 +94,9 @@
   /// @brief Applies a written entry. Ignores an entry with an older revision than the
   /// last event of the upstream, or with an older incarnation than the current one.
   Changes Upsert(const UpstreamRecord& aRecord, Revision aRevision);
-  /// @brief Applies the removal of entries at @p aRevision, at once or after the grace
-  /// period. Ignores unknown ids and ids whose last event is newer.
-  Changes Remove(const std::vector<UpstreamId>& aIds, Revision aRevision, TimePoint aNow);
+  /// @brief Applies removals that arrived together, at once or after the grace period.
+  /// Ignores unknown ids and ids whose last event is newer than the removal.
+  Changes Remove(const std::vector<RegistryRemoval>& aRemovals, TimePoint aNow);
   /// @brief Applies a complete read of the registry at @p aRevision: updates the
   /// upstreams among @p aEntries and removes all others as Remove() does.
   Changes ReplaceAll(const std::vector<RegistryEntry>& aEntries, Revision aRevision,
@@ -103,9 +112,12 @@
   const std::map<UpstreamId, UpstreamRecord>& Upstreams() const { return mUpstreams; }
 
 private:
-  /// Whether removals of @p aRemovals upstreams that are not draining must wait for the
-  /// grace period.
-  bool MustDeferRemovals(std::size_t aRemovals, TimePoint aNow) const;
+  /// Whether an upstream is in the directory and its last event is not newer than the
+  /// removal.
+  bool IsInEffect(const RegistryRemoval& aRemoval) const;
+  /// Whether removals of @p aCount upstreams that are not draining must wait for the grace
+  /// period.
+  bool MustDeferRemovals(std::size_t aCount, TimePoint aNow) const;
   /// Removes an upstream, leaves a tombstone and adds the change to @p aChanges.
   void Erase(const UpstreamId& aId, TimePoint aNow, Changes& aChanges);
 
--- a/src/wasabispar/routing/upstream_directory.cpp
+++ b/src/wasabispar/routing/upstream_directory.cpp
@@ -3,6 +3,7 @@
 #include "wasabispar/routing/upstream_directory.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 
 namespace wasabispar {
@@ -65,27 +66,37 @@
   return { { kind, aRecord } };
 }
 
+bool
+UpstreamDirectory::IsInEffect(const RegistryRemoval& aRemoval) const
+{
+  const auto last = mLastEvents.find(aRemoval.mId);
+  return mUpstreams.contains(aRemoval.mId) && last != mLastEvents.end() &&
+         aRemoval.mRevision >= last->second.mRevision;
+}
+
 UpstreamDirectory::Changes
-UpstreamDirectory::Remove(const std::vector<UpstreamId>& aIds, Revision aRevision,
-                          TimePoint aNow)
+UpstreamDirectory::Remove(const std::vector<RegistryRemoval>& aRemovals, TimePoint aNow)
 {
-  const auto abruptCount = std::ranges::count_if(aIds, [this](const UpstreamId& aId) {
-    const auto existing = mUpstreams.find(aId);
-    return existing != mUpstreams.end() &&
-           existing->second.mState == UpstreamState::Serving;
-  });
+  std::vector<RegistryRemoval> inEffect;
+  std::ranges::copy_if(
+    aRemovals, std::back_inserter(inEffect),
+    [this](const RegistryRemoval& aRemoval) { return IsInEffect(aRemoval); });
+  const auto abruptCount =
+    std::ranges::count_if(inEffect, [this](const RegistryRemoval& aRemoval) {
+      return mUpstreams.at(aRemoval.mId).mState == UpstreamState::Serving;
+    });
   const bool mustDefer = MustDeferRemovals(static_cast<std::size_t>(abruptCount), aNow);
   Changes changes;
-  for (const auto& id : aIds) {
-    const auto existing = mUpstreams.find(id);
-    if (existing == mUpstreams.end() || aRevision < mLastEvents[id].mRevision) {
+  for (const auto& removal : inEffect) {
+    const auto existing = mUpstreams.find(removal.mId);
+    if (existing == mUpstreams.end()) {
       continue;
     }
-    mLastEvents[id].mRevision = aRevision;
+    mLastEvents[removal.mId].mRevision = removal.mRevision;
     if (mustDefer && existing->second.mState == UpstreamState::Serving) {
-      mPendingRemovals.try_emplace(id, aNow + kReregistrationGrace);
+      mPendingRemovals.try_emplace(removal.mId, aNow + kReregistrationGrace);
     } else {
-      Erase(id, aNow, changes);
+      Erase(removal.mId, aNow, changes);
     }
   }
   return changes;
@@ -102,13 +113,13 @@
     const auto applied = Upsert(entry.mRecord, entry.mRevision);
     changes.insert(changes.end(), applied.begin(), applied.end());
   }
-  std::vector<UpstreamId> missing;
+  std::vector<RegistryRemoval> missing;
   for (const auto& [id, record] : mUpstreams) {
     if (!present.contains(id)) {
-      missing.push_back(id);
+      missing.push_back({ id, aRevision });
     }
   }
-  const auto removed = Remove(missing, aRevision, aNow);
+  const auto removed = Remove(missing, aNow);
   changes.insert(changes.end(), removed.begin(), removed.end());
   return changes;
 }
@@ -139,13 +150,13 @@
 }
 
 bool
-UpstreamDirectory::MustDeferRemovals(std::size_t aRemovals, TimePoint aNow) const
+UpstreamDirectory::MustDeferRemovals(std::size_t aCount, TimePoint aNow) const
 {
   const bool hasJustRecovered =
     mRegistryRecoveredAt && aNow - *mRegistryRecoveredAt < kReregistrationGrace;
   const auto bulkThreshold =
     std::max(kBulkRemovalThreshold, mUpstreams.size() / kBulkRemovalDivisor);
-  return hasJustRecovered || aRemovals > bulkThreshold;
+  return hasJustRecovered || aCount > bulkThreshold;
 }
 
 void
--- a/src/wasabispar/routing/upstream_directory_test.cpp
+++ b/src/wasabispar/routing/upstream_directory_test.cpp
@@ -44,12 +44,23 @@
   return ids;
 }
 
+/// The removals of `u0`, `u1`, ... at one revision.
+std::vector<RegistryRemoval>
+Removals(std::size_t aCount, Revision aRevision)
+{
+  std::vector<RegistryRemoval> removals;
+  for (const auto& id : Ids(aCount)) {
+    removals.push_back({ id, aRevision });
+  }
+  return removals;
+}
+
 } // namespace
 
 TEST_CASE("a removal while the registry is available is applied at once")
 {
   auto directory = DirectoryOf(20);
-  const auto changes = directory.Remove(Ids(1), Revision(50), kNow);
+  const auto changes = directory.Remove(Removals(1, Revision(50)), kNow);
   REQUIRE(changes.size() == 1);
   CHECK(changes[0].mKind == Kind::Removed);
   CHECK(directory.Upstreams().size() == 19);
@@ -61,7 +72,7 @@
 {
   auto directory = DirectoryOf(20);
   directory.OnRegistryRecovered(kNow);
-  CHECK(directory.Remove(Ids(2), Revision(50), kNow + 10ms).empty());
+  CHECK(directory.Remove(Removals(2, Revision(50)), kNow + 10ms).empty());
   CHECK(directory.Tick(kNow + 2s).empty());
 
   auto reregistered = RecordOf("u0");
@@ -75,7 +86,7 @@
 TEST_CASE("a bulk removal of upstreams that did not drain is deferred")
 {
   auto directory = DirectoryOf(20);
-  CHECK(directory.Remove(Ids(10), Revision(50), kNow).empty());
+  CHECK(directory.Remove(Removals(10, Revision(50)), kNow).empty());
   CHECK(directory.Upstreams().size() == 20);
   CHECK(directory.Tick(kNow + 3s).size() == 10);
 }
@@ -90,17 +101,43 @@
     REQUIRE(changes.size() == 1);
     CHECK(changes[0].mKind == Kind::Draining);
   }
-  CHECK(directory.Remove(Ids(10), Revision(50), kNow).size() == 10);
+  CHECK(directory.Remove(Removals(10, Revision(50)), kNow).size() == 10);
 }
 
 TEST_CASE("an older event does not undo a newer one")
 {
   auto directory = DirectoryOf(1);
-  directory.Remove(Ids(1), Revision(50), kNow);
+  directory.Remove(Removals(1, Revision(50)), kNow);
   CHECK(directory.Upsert(RecordOf("u0"), Revision(40)).empty());
   CHECK(directory.Upstreams().empty());
 }
 
+/// Guards against an upstream that stays unused although it is registered: its entry was
+/// written again after its removal, and another entry was removed after that.
+TEST_CASE("a removal counts with its own revision among removals that arrive together")
+{
+  auto directory = DirectoryOf(2);
+  directory.Upsert(RecordOf("u0"), Revision(55));
+  const auto changes = directory.Remove(
+    { { UpstreamId("u0"), Revision(50) }, { UpstreamId("u1"), Revision(60) } }, kNow);
+  REQUIRE(changes.size() == 1);
+  CHECK(changes[0].mRecord.mId == UpstreamId("u1"));
+  CHECK(directory.Upstreams().contains(UpstreamId("u0")));
+}
+
+/// Guards against removals that are deferred without need: those of entries that were
+/// written again do not count.
+TEST_CASE("removals that are not in effect do not make others a bulk removal")
+{
+  auto directory = DirectoryOf(10);
+  for (const auto& id : Ids(9)) {
+    directory.Upsert(RecordOf(id.Text()), Revision(55));
+  }
+  auto removals = Removals(9, Revision(50));
+  removals.push_back({ UpstreamId("u9"), Revision(60) });
+  CHECK(directory.Remove(removals, kNow).size() == 1);
+}
+
 TEST_CASE("a new incarnation or address of an id replaces the upstream")
 {
   auto directory = DirectoryOf(1);
