--- a/include/wasabispar/gateway/gateway.hpp
+++ b/include/wasabispar/gateway/gateway.hpp
@@ -9,6 +9,7 @@
 #include "wasabispar/gateway/service_pool.hpp"
 #include "wasabispar/net/http_server.hpp"
 #include "wasabispar/net/worker.hpp"
+#include "wasabispar/routing/crash_limiter.hpp"
 #include "wasabispar/routing/route.hpp"
 #include "wasabispar/routing/upstream_directory.hpp"
 #include "wasabispar/routing/weighted_choice.hpp"
@@ -33,6 +34,10 @@
   Duration mMaxCallerMargin = std::chrono::milliseconds(30);
   /// Most bytes of the answers that are being read at the same time.
   std::uint64_t mMaxResponseBytes = 32 * 1024 * 1024;
+  /// Limit on the upstreams that one request may crash.
+  CrashLimiterOptions mCrashLimit;
+  /// Tells the other VMs which upstreams crashed with a request. May be empty.
+  std::function<void(const RequestCrashes&)> mPublishCrashes;
 };
 
 /// @brief Counters and histograms of the gateway.
@@ -53,6 +58,8 @@
   /// Time from a request to its final answer, by kind of route.
   prometheus::Histogram& mSingleLatency;
   prometheus::Histogram& mFanOutLatency;
+  /// Reports to the other VMs on requests that crash upstreams.
+  prometheus::Counter& mCrashReports;
   /// Parts missing in merged answers.
   prometheus::Counter& mMissingParts;
   /// Log lines dropped by the rate limit of TraceLog.
@@ -82,6 +89,8 @@
   bool SetRoutes(RouteTablePtr aTable);
   /// @brief Updates the pools of the services.
   void OnUpstreamChanges(const UpstreamDirectory::Changes& aChanges);
+  /// @brief Takes account of the upstreams that crashed at another VM with a request.
+  void OnCrashReport(const VmId& aVm, const RequestCrashes& aReport);
   /// @brief Replaces the budget for extra sends of all services.
   void SetExtraLoad(const ExtraLoadOptions& aOptions);
   /// @brief Reads the connection quotas of all upstreams again.
@@ -97,6 +106,9 @@
 private:
   friend class ActiveRequest;
 
+  /// Maintains the pools, publishes crashes and counts dropped log lines.
+  void Tick();
+  void PublishCrashes(TimePoint aNow);
   /// The pool of a service; created when there is none.
   ServicePool& PoolOf(const ServiceName& aService);
   /// Refuses a request that was not routed; @p aRequest is null when it is malformed.
@@ -111,6 +123,7 @@
   UpstreamProtocol mUpstreamProtocol;
   GatewayMetrics mMetrics;
   TraceLog mTraceLog;
+  CrashLimiter mCrashLimiter;
   /// Null until the first SetRoutes().
   RouteTablePtr mRoutes;
   std::map<ServiceName, std::unique_ptr<ServicePool>> mPools;
--- a/include/wasabispar/gateway/protocol.hpp
+++ b/include/wasabispar/gateway/protocol.hpp
@@ -79,6 +79,8 @@
   NotConfigured,
   /// No upstream can run the request in time; the request did not run.
   Unavailable,
+  /// Too many upstreams crashed while they ran the request; it was not sent again.
+  Quarantined,
   /// The answer was lost; the request may have run.
   Lost,
   /// The deadline has passed; the request may have run.
@@ -86,7 +88,7 @@
 };
 
 /// @brief The name of a reason: `no-route`, `bad-request`, `not-configured`,
-/// `unavailable`, `lost`, `timeout`.
+/// `unavailable`, `quarantined`, `lost`, `timeout`.
 std::string_view
 ToText(RefusalReason aReason);
 
--- a/include/wasabispar/gateway/request_trace.hpp
+++ b/include/wasabispar/gateway/request_trace.hpp
@@ -38,6 +38,9 @@
   Lost,
   /// No byte of the request was sent. Figure as for Answered.
   Unreachable,
+  /// Not sent, because too many upstreams crashed while they ran the request. Figure: the
+  /// fingerprint, as in the log lines on crashes.
+  Blocked,
   /// The part is abandoned because no upstream is left. Figure: number of upstreams
   /// tried, or before the first send the expected wait in the queue in microseconds.
   PartGivenUp,
--- a/include/wasabispar/gateway/service_pool.hpp
+++ b/include/wasabispar/gateway/service_pool.hpp
@@ -5,8 +5,10 @@
 
 #include "wasabispar/base/clock.hpp"
 #include "wasabispar/base/ids.hpp"
+#include "wasabispar/base/timer_service.hpp"
 #include "wasabispar/fleet/regional_quota.hpp"
 #include "wasabispar/net/connection_pool.hpp"
+#include "wasabispar/routing/crash_limiter.hpp"
 #include "wasabispar/routing/extra_load_window.hpp"
 #include "wasabispar/routing/placement.hpp"
 #include "wasabispar/routing/replica_load.hpp"
@@ -43,12 +45,19 @@
   std::size_t mMinConnections = 0;
   ReplicaLoad mLoad;
   std::shared_ptr<ConnectionPool> mConnectionPool;
+  /// Probes the upstream after a lost exchange.
+  Subscription mProbeTimer;
 
   /// @param aInitial expected response time before the first sample.
   explicit Replica(Duration aInitial)
     : mLoad(aInitial)
   {
   }
+  /// @brief The run of the upstream's process that the registry names.
+  UpstreamIncarnation Incarnation() const
+  {
+    return { mRecord.mId, mRecord.mStartedUnixMs };
+  }
   /// @brief Whether the upstream accepts new requests.
   bool IsUsable() const
   {
@@ -83,6 +92,8 @@
   std::function<std::vector<ConnectionQuota>(const std::vector<UpstreamRecord>&,
                                              std::uint32_t aMax)>
     mConnectionQuotas;
+  /// Called when a connection to an upstream was opened, or could not be opened.
+  std::function<void(const UpstreamIncarnation&, bool aIsOpened)> mOnConnectEnd;
   /// Bounds the answers of all services that are being read at the same time.
   std::shared_ptr<ByteBudget> mResponseBudget;
 };
--- a/include/wasabispar/net/connection_pool.hpp
+++ b/include/wasabispar/net/connection_pool.hpp
@@ -14,6 +14,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -134,6 +135,11 @@
   /// minimum is 0, so that the requests of callers need not find out whether the upstream
   /// accepts connections again. Call it every 50 to 250 ms.
   void Tick();
+  /// @brief Opens a connection although no request needs it, to find out through
+  /// mOnConnected or mOnConnectFailed whether the upstream still accepts connections. One
+  /// probe a second ignores the reconnect delay. Does nothing if the quota does not allow
+  /// it.
+  void Probe();
   /// @brief Closes all connections and ends queued and running requests.
   void Stop();
   /// @brief Closes all connections and drops queued and running requests without calling
@@ -182,6 +188,7 @@
   std::size_t mOpeningCount = 0;
   std::uint64_t mNextConnectionId = 1;
   ReconnectBackoff mBackoff;
+  std::optional<TimePoint> mLastProbeAt;
   bool mIsStopped = false;
 
   void ProcessQueue();
--- a/src/wasabispar/gateway/active_request.cpp
+++ b/src/wasabispar/gateway/active_request.cpp
@@ -2,6 +2,7 @@
 /// @brief Sends, retries and hedges the parts of a request and answers the caller.
 #include "wasabispar/gateway/active_request.hpp"
 
+#include "wasabispar/base/hash.hpp"
 #include "wasabispar/routing/record_merge.hpp"
 
 #include <algorithm>
@@ -20,6 +21,9 @@
 /// Fraction of the objective that is reserved for the transit from and to the caller, up
 /// to GatewayOptions::mMaxCallerMargin.
 constexpr Permille kCallerMarginRatio(300);
+/// Delay of the probe after a lost exchange; longer than
+/// CrashLimiterOptions::mListenerCloseTime.
+constexpr Duration kProbeDelay = std::chrono::milliseconds(60);
 /// Bounds of the retry delay that a refusal states.
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(50);
 constexpr Duration kMaxRetryAfter = std::chrono::seconds(1);
@@ -34,6 +38,21 @@
   return std::min(aRoute.mTimeout, *aRequest.mCallerTimeout - kDeadlineMargin);
 }
 
+/// The fingerprint of a request to one service. Leaves out what differs between the
+/// attempts of a caller: the headers, which hold the id and the time left.
+RequestFingerprint
+FingerprintOf(const CallerRequest& aRequest, const ServiceName& aService)
+{
+  const auto& http = aRequest.mHttpRequest;
+  auto hash = HashText(http.mMethod);
+  for (const std::string_view part :
+       { std::string_view(aRequest.mHost), std::string_view(http.mTarget),
+         std::string_view(http.mBody), std::string_view(aService.Text()) }) {
+    hash = HashText(part, hash);
+  }
+  return RequestFingerprint(hash);
+}
+
 FanOutState
 MakeFanOutState(const CallerRequest& aRequest, const Route& aRoute, std::size_t aParts,
                 Duration aMaxCallerMargin, TimePoint aNow)
@@ -65,6 +84,7 @@
 {
   for (std::size_t i = 0; i < aServices.size(); ++i) {
     mParts[i].mServicePool = &mGateway.PoolOf(aServices[i]);
+    mParts[i].mFingerprint = FingerprintOf(mRequest, aServices[i]);
   }
 }
 
@@ -76,7 +96,7 @@
     part.mServicePool->OnRequest(now);
   }
   if (!AbandonUnservableParts(now)) {
-    Refuse(RefusalReason::Unavailable);
+    Refuse(FailureReason());
     return;
   }
   for (std::size_t i = 0; i < mParts.size(); ++i) {
@@ -92,6 +112,10 @@
 ActiveRequest::AbandonUnservableParts(TimePoint aNow)
 {
   for (std::size_t i = 0; i < mParts.size(); ++i) {
+    if (!IsCrashLimitKept(i, aNow)) {
+      mFanOutState.OnLost(i);
+      continue;
+    }
     const auto& pool = *mParts[i].mServicePool;
     const auto expected = pool.BestExpectedLatency({}, aNow);
     const auto wait = pool.ExpectedWait(mRoute.mPriority, mFanOutState.AnswerBy(), aNow);
@@ -103,11 +127,63 @@
   return mFanOutState.Decide(aNow) != FanOutDecision::Fail;
 }
 
+bool
+ActiveRequest::IsCrashLimitKept(std::size_t aPart, TimePoint aNow)
+{
+  if (mGateway.mCrashLimiter.MaySend(mParts[aPart].mFingerprint, aNow)) {
+    return true;
+  }
+  mTrace.Add(TraceStep::Blocked, aPart, {}, mParts[aPart].mFingerprint.Value(), aNow);
+  return false;
+}
+
+bool
+ActiveRequest::MayStillSend(std::size_t aPart, ExchangeId aExchange,
+                            const Replica& aReplica, TimePoint aNow)
+{
+  if (!aReplica.IsUsable() || !IsCrashLimitKept(aPart, aNow)) {
+    return false;
+  }
+  mGateway.mCrashLimiter.OnSent(aExchange, mParts[aPart].mFingerprint,
+                                aReplica.Incarnation());
+  return true;
+}
+
+void
+ActiveRequest::RecordEnd(const Exchange& aExchange, HttpExchangeEnd aEnd,
+                         std::optional<TraceStep> aStep)
+{
+  auto& limiter = mGateway.mCrashLimiter;
+  if (aStep == TraceStep::Answered || aStep == TraceStep::Failed) {
+    limiter.OnCompleted(aExchange.mId);
+  } else if (aEnd == HttpExchangeEnd::ConnectionLost && !mAreExchangesClosed) {
+    limiter.OnLost(aExchange.mId, BootClock::now());
+    ProbeLater(*aExchange.mReplica);
+  } else {
+    limiter.OnEnded(aExchange.mId);
+  }
+}
+
+void
+ActiveRequest::ProbeLater(Replica& aReplica)
+{
+  aReplica.mProbeTimer = mGateway.mWorker.Timers().After(
+    kProbeDelay, [weak = std::weak_ptr<ConnectionPool>(aReplica.mConnectionPool)] {
+      if (const auto pool = weak.lock()) {
+        pool->Probe();
+      }
+    });
+}
+
 void
 ActiveRequest::Launch(std::size_t aPart, TraceStep aStep)
 {
   const auto now = BootClock::now();
   auto& part = mParts[aPart];
+  if (!IsCrashLimitKept(aPart, now)) {
+    AbandonPart(aPart, now);
+    return;
+  }
   const auto placement = part.mServicePool->Choose(part.mTried, now);
   switch (placement.mKind) {
     case PlacementResult::Kind::Found:
@@ -160,7 +236,9 @@
     return true;
   }
   const auto now = BootClock::now();
-  const auto placement = part.mServicePool->Choose(part.mTried, now);
+  const bool isBlocked = !IsCrashLimitKept(aPart, now);
+  const auto placement =
+    isBlocked ? PlacementResult{} : part.mServicePool->Choose(part.mTried, now);
   if (placement.mKind == PlacementResult::Kind::Busy) {
     return false;
   }
@@ -213,6 +291,10 @@
   pooled.mMayReuse = [self = shared_from_this()](const HttpResponse& aResponse) {
     return self->mGateway.mUpstreamProtocol.mMayReuse(self->mRequest, aResponse);
   };
+  pooled.mMayStillSend = [self = shared_from_this(), aPart, exchange,
+                          aReplica](TimePoint aSendAt) {
+    return self->MayStillSend(aPart, exchange, *aReplica, aSendAt);
+  };
   pooled.mOnStarted = [self = shared_from_this(), aPart, exchange](std::uint64_t) {
     self->OnStarted(aPart, exchange);
   };
@@ -242,6 +324,9 @@
 {
   auto& part = mParts[aPart];
   part.mHedgeAt.reset();
+  if (!IsCrashLimitKept(aPart, aNow)) {
+    return;
+  }
   const auto placement = part.mServicePool->Choose(part.mTried, aNow);
   if (placement.mKind == PlacementResult::Kind::Busy) {
     part.mHedgeAt = aNow + kHedgeRecheckDelay;
@@ -281,12 +366,15 @@
   const auto now = BootClock::now();
   const auto exchange = *found;
   part.mOpenExchanges.erase(found);
+  const auto httpEnd = aResult.mEnd;
   if (mIsCallerDisconnected) {
+    RecordEnd(exchange, httpEnd, {});
     exchange.mReplica->mLoad.OnAbandoned(aExchange);
     part.mServicePool->Queue().Dispatch();
     return;
   }
   const auto end = Classify(part, exchange, std::move(aResult), aMayHaveBeenSent, now);
+  RecordEnd(exchange, httpEnd, end);
   mGateway.mMetrics.CountExchange(end);
   mTrace.Add(end, aPart, exchange.mReplica->mRecord.mId,
              ToMicroseconds(now - exchange.mSentAt), now);
@@ -473,7 +561,21 @@
 RefusalReason
 ActiveRequest::FailureReason() const
 {
-  return MayHaveRun() ? RefusalReason::Lost : RefusalReason::Unavailable;
+  if (MayHaveRun()) {
+    return RefusalReason::Lost;
+  }
+  return BlockedUntil(BootClock::now()) ? RefusalReason::Quarantined
+                                        : RefusalReason::Unavailable;
+}
+
+std::optional<TimePoint>
+ActiveRequest::BlockedUntil(TimePoint aNow) const
+{
+  std::optional<TimePoint> until;
+  for (const auto& part : mParts) {
+    until = std::max(until, mGateway.mCrashLimiter.BlockedUntil(part.mFingerprint, aNow));
+  }
+  return until;
 }
 
 bool
@@ -495,8 +597,11 @@
     return;
   }
   Refusal refusal{ aReason, {} };
+  const auto now = BootClock::now();
   if (aReason == RefusalReason::Unavailable) {
-    refusal.mRetryAfter = RetryAfter(BootClock::now());
+    refusal.mRetryAfter = RetryAfter(now);
+  } else if (aReason == RefusalReason::Quarantined) {
+    refusal.mRetryAfter = BlockedUntil(now).value_or(now) - now;
   }
   Finish(mGateway.mCallerProtocol.mEncodeRefusal(refusal), ToText(aReason));
 }
@@ -583,6 +688,7 @@
 void
 ActiveRequest::CloseOpenExchanges()
 {
+  mAreExchangesClosed = true;
   for (auto& part : mParts) {
     const auto open = part.mOpenExchanges;
     for (const auto& exchange : open) {
--- a/src/wasabispar/gateway/active_request.hpp
+++ b/src/wasabispar/gateway/active_request.hpp
@@ -55,6 +55,8 @@
   struct Part
   {
     ServicePool* mServicePool = nullptr;
+    /// Identifies what is sent, the same for each attempt of a caller.
+    RequestFingerprint mFingerprint;
     /// Upstreams to which the part was sent.
     std::vector<UpstreamId> mTried;
     std::vector<Exchange> mOpenExchanges;
@@ -78,6 +80,17 @@
   void Launch(std::size_t aPart, TraceStep aStep);
   /// Sends a queued part; returns false when the part must stay in the queue.
   bool TryLaunch(std::size_t aPart, TraceStep aStep);
+  /// Whether the part may be sent although upstreams may have crashed with it; otherwise
+  /// adds a step to the trace.
+  bool IsCrashLimitKept(std::size_t aPart, TimePoint aNow);
+  /// Decides right before the first byte is written; records the exchange if it starts.
+  bool MayStillSend(std::size_t aPart, ExchangeId aExchange, const Replica& aReplica,
+                    TimePoint aNow);
+  /// Tells the crash limiter how an exchange ended that had started.
+  void RecordEnd(const Exchange& aExchange, HttpExchangeEnd aEnd,
+                 std::optional<TraceStep> aStep);
+  /// Finds out a moment later whether the upstream still accepts connections.
+  void ProbeLater(Replica& aReplica);
   /// Marks a part as lost because no upstream is left for it.
   void AbandonPart(std::size_t aPart, TimePoint aNow);
   void Enqueue(std::size_t aPart, TraceStep aStep);
@@ -115,6 +128,8 @@
   void Refuse(RefusalReason aReason);
   /// The reason of a refusal before the deadline.
   RefusalReason FailureReason() const;
+  /// When the last blocked part may be sent again; empty if no part is blocked.
+  std::optional<TimePoint> BlockedUntil(TimePoint aNow) const;
   /// Whether an upstream may have run a part.
   bool MayHaveRun() const;
   /// Time after which all parts can be expected to find a free upstream.
@@ -142,6 +157,8 @@
   /// Start() is sending the parts; no decision is made until all were sent.
   bool mIsStarting = true;
   bool mIsFinished = false;
+  /// This side has closed the open exchanges; their upstreams did not crash.
+  bool mAreExchangesClosed = false;
   /// The caller closed its connection. Exchanges that end from then on are not counted
   /// for or against their upstreams.
   bool mIsCallerDisconnected = false;
--- a/src/wasabispar/gateway/gateway.cpp
+++ b/src/wasabispar/gateway/gateway.cpp
@@ -54,6 +54,8 @@
       return "not-configured";
     case RefusalReason::Unavailable:
       return "unavailable";
+    case RefusalReason::Quarantined:
+      return "quarantined";
     case RefusalReason::Lost:
       return "lost";
     case RefusalReason::Timeout:
@@ -80,6 +82,9 @@
                                     { { "kind", "single" } }))
   , mFanOutLatency(aMetrics.Latency("wasabispar_gateway_request_seconds", kLatencyHelp,
                                     { { "kind", "fan-out" } }))
+  , mCrashReports(
+      aMetrics.Counter("wasabispar_gateway_crash_reports_total",
+                       "Reports to other VMs on requests that crash upstreams."))
   , mMissingParts(aMetrics.Counter("wasabispar_gateway_missing_parts_total",
                                    "Parts left out of merged answers."))
   , mTraceLinesDropped(aMetrics.Counter("wasabispar_gateway_trace_lines_dropped_total",
@@ -112,19 +117,60 @@
   , mCallerProtocol(std::move(aCallers))
   , mUpstreamProtocol(std::move(aUpstreams))
   , mMetrics(aMetrics)
+  , mCrashLimiter(mOptions.mCrashLimit)
 {
   mOptions.mPools.mResponseBudget =
     std::make_shared<ByteBudget>(mOptions.mMaxResponseBytes);
-  mTickTimer = mWorker.Timers().Every(kTickPeriod, [this] {
-    for (const auto& [name, pool] : mPools) {
-      pool->Tick();
+  mOptions.mPools.mOnConnectEnd = [this](const UpstreamIncarnation& aUpstream,
+                                         bool aIsOpened) {
+    if (aIsOpened) {
+      mCrashLimiter.OnConnected(aUpstream, BootClock::now());
+    } else {
+      mCrashLimiter.OnConnectFailed(aUpstream, BootClock::now());
     }
-    mMetrics.mTraceLinesDropped.Increment(static_cast<double>(mTraceLog.TakeDropped()));
-  });
+  };
+  mTickTimer = mWorker.Timers().Every(kTickPeriod, [this] { Tick(); });
 }
 
 Gateway::~Gateway() = default;
 
+void
+Gateway::Tick()
+{
+  for (const auto& [name, pool] : mPools) {
+    pool->Tick();
+  }
+  PublishCrashes(BootClock::now());
+  mMetrics.mTraceLinesDropped.Increment(static_cast<double>(mTraceLog.TakeDropped()));
+}
+
+void
+Gateway::PublishCrashes(TimePoint aNow)
+{
+  for (const auto& report : mCrashLimiter.Tick(aNow)) {
+    LogEvent(
+      LogLevel::Warning, "request-crashes",
+      { { "fingerprint", report.mFingerprint.Value() },
+        { "upstreams", report.mUpstreams.size() },
+        { "blocked",
+          mCrashLimiter.BlockedUntil(report.mFingerprint, aNow) ? "yes" : "no" } });
+    mMetrics.mCrashReports.Increment();
+    if (mOptions.mPublishCrashes) {
+      mOptions.mPublishCrashes(report);
+    }
+  }
+}
+
+void
+Gateway::OnCrashReport(const VmId& aVm, const RequestCrashes& aReport)
+{
+  LogEvent(LogLevel::Info, "request-crashes-reported",
+           { { "vm", aVm.Text() },
+             { "fingerprint", aReport.mFingerprint.Value() },
+             { "upstreams", aReport.mUpstreams.size() } });
+  mCrashLimiter.OnReport(aVm, aReport, BootClock::now());
+}
+
 void
 Gateway::Handle(HttpRequest aRequest, HttpRespondFn aRespond)
 {
--- a/src/wasabispar/gateway/service_pool.cpp
+++ b/src/wasabispar/gateway/service_pool.cpp
@@ -152,17 +152,27 @@
     const auto self = weak.lock();
     return self ? std::min(self->mMinConnections, self->mMaxExchanges) : 0;
   };
-  hooks.mOnConnected = [weak] {
-    if (const auto self = weak.lock()) {
-      self->mLoad.OnConnected();
+  const auto onConnectEnd = [weak, report = mOptions.mOnConnectEnd](bool aIsOpened) {
+    const auto self = weak.lock();
+    if (self && report) {
+      report(self->Incarnation(), aIsOpened);
     }
   };
-  hooks.mOnConnectFailed = [weak] {
+  hooks.mOnRefused = [weak] {
     if (const auto self = weak.lock()) {
       self->mLoad.OnConnectFailed(BootClock::now());
     }
   };
-  hooks.mOnRefused = hooks.mOnConnectFailed;
+  hooks.mOnConnected = [weak, onConnectEnd] {
+    if (const auto self = weak.lock()) {
+      self->mLoad.OnConnected();
+    }
+    onConnectEnd(true);
+  };
+  hooks.mOnConnectFailed = [onRefused = hooks.mOnRefused, onConnectEnd] {
+    onRefused();
+    onConnectEnd(false);
+  };
   // The adapter has validated the address, so parsing does not fail.
   const auto endpoint =
     HandleError([&] { return Endpoint::Parse(aRecord.mAddress.Text()); },
--- a/src/wasabispar/net/connection_pool.cpp
+++ b/src/wasabispar/net/connection_pool.cpp
@@ -10,6 +10,13 @@
 
 namespace wasabispar {
 
+namespace {
+
+/// Shortest time between two probes that ignore the reconnect delay.
+constexpr Duration kMinProbeInterval = std::chrono::seconds(1);
+
+} // namespace
+
 ConnectionPool::ConnectionPool(boost::asio::io_context& aContext, Endpoint aEndpoint,
                                ConnectionPoolOptions aOptions, ConnectionPoolHooks aHooks)
   : mContext(aContext)
@@ -421,6 +428,18 @@
          mBackoff.MayOpen(mHooks.mNow());
 }
 
+void
+ConnectionPool::Probe()
+{
+  const auto now = mHooks.mNow();
+  const bool isRecent = mLastProbeAt && now - *mLastProbeAt < kMinProbeInterval;
+  const bool mayOpen = !isRecent || mBackoff.MayOpen(now);
+  if (!mIsStopped && mOpeningCount == 0 && mayOpen && mHooks.mTryReserveConnection()) {
+    mLastProbeAt = now;
+    OpenConnection();
+  }
+}
+
 void
 ConnectionPool::Stop()
 {
--- a/src/wasabispar/net/connection_pool_test.cpp
+++ b/src/wasabispar/net/connection_pool_test.cpp
@@ -27,6 +27,7 @@
   HttpServer mServer;
   std::shared_ptr<ConnectionPool> mPool;
   std::uint32_t mReservedConnections = 0;
+  int mFailedConnects = 0;
   std::vector<Subscription> mTimers;
 
   Fixture()
@@ -67,7 +68,7 @@
     hooks.mSlotLimit = [] { return 4U; };
     hooks.mMinConnections = [aMinConnections] { return aMinConnections; };
     hooks.mOnConnected = [] {};
-    hooks.mOnConnectFailed = [] {};
+    hooks.mOnConnectFailed = [this] { ++mFailedConnects; };
     mPool = std::make_shared<ConnectionPool>(
       mWorker.Context(), Endpoint{ "127.0.0.1", aPort }, options, std::move(hooks));
   }
@@ -286,3 +287,25 @@
   // Four at a time, 20 ms each.
   CHECK(waits.back().get_future().get() >= 40ms);
 }
+
+/// Guards against a crash that is found out late, and against a probe for each lost
+/// exchange of an upstream that refuses connections.
+TEST_CASE_FIXTURE(Fixture, "a probe ignores the reconnect delay once a second")
+{
+  ResettingListener listener(mWorker);
+  CreateFor(listener.Port(), 1s, 0);
+  OnWorker([&] {
+    listener.Close();
+    mPool->Probe();
+  });
+  REQUIRE(EventuallyOn(
+    mWorker, [this] { return mFailedConnects == 1; }, 2s));
+  OnWorker([this] { mPool->Probe(); });
+  std::this_thread::sleep_for(50ms);
+  OnWorker([this] { CHECK(mFailedConnects == 1); });
+  std::this_thread::sleep_for(1s);
+  OnWorker([this] { mPool->Probe(); });
+  CHECK(EventuallyOn(
+    mWorker, [this] { return mFailedConnects == 2; }, 1s));
+  OnWorker([this] { CHECK(mReservedConnections == 0); });
+}
--- /dev/null
+++ b/src/wasabispar/routing/crash_limiter.cpp
@@ -0,0 +1,232 @@
+/// @file
+/// @brief Attribution of crashes to requests, their limit and their reports.
+#include "wasabispar/routing/crash_limiter.hpp"
+
+#include <algorithm>
+#include <iterator>
+
+namespace wasabispar {
+
+CrashLimiter::CrashLimiter(CrashLimiterOptions aOptions)
+  : mOptions(aOptions)
+{
+}
+
+bool
+CrashLimiter::MaySend(RequestFingerprint aRequest, TimePoint aNow) const
+{
+  const auto* suspect = FindSuspect(aRequest, aNow);
+  if (!suspect) {
+    return true;
+  }
+  const auto count = mExchangeCounts.find(aRequest);
+  const auto running = count == mExchangeCounts.end() ? 0 : count->second;
+  return CrashCount(*suspect) + running < mOptions.mMaxCrashes;
+}
+
+std::optional<TimePoint>
+CrashLimiter::BlockedUntil(RequestFingerprint aRequest, TimePoint aNow) const
+{
+  const auto* suspect = FindSuspect(aRequest, aNow);
+  if (!suspect || CrashCount(*suspect) < mOptions.mMaxCrashes) {
+    return std::nullopt;
+  }
+  return suspect->mLastCrashAt + mOptions.mMemory;
+}
+
+void
+CrashLimiter::OnSent(ExchangeId aExchange, RequestFingerprint aRequest,
+                     const UpstreamIncarnation& aUpstream)
+{
+  if (mExchanges.emplace(aExchange, Exchange{ aRequest, aUpstream, {} }).second) {
+    ++mExchangeCounts[aRequest];
+  }
+}
+
+void
+CrashLimiter::OnCompleted(ExchangeId aExchange)
+{
+  const auto found = mExchanges.find(aExchange);
+  if (found == mExchanges.end()) {
+    return;
+  }
+  const auto suspect = mSuspects.find(found->second.mRequest);
+  if (suspect != mSuspects.end()) {
+    suspect->second.mObserved.clear();
+    suspect->second.mReported.clear();
+  }
+  Erase(found);
+}
+
+void
+CrashLimiter::OnLost(ExchangeId aExchange, TimePoint aNow)
+{
+  const auto found = mExchanges.find(aExchange);
+  if (found == mExchanges.end()) {
+    return;
+  }
+  const auto failed = mFailedConnects.find(found->second.mUpstream);
+  if (failed != mFailedConnects.end() && aNow - failed->second < mOptions.mLossWindow) {
+    AddCrash(found->second, aNow);
+    Erase(found);
+    return;
+  }
+  found->second.mLostAt = aNow;
+}
+
+void
+CrashLimiter::OnEnded(ExchangeId aExchange)
+{
+  const auto found = mExchanges.find(aExchange);
+  if (found != mExchanges.end()) {
+    Erase(found);
+  }
+}
+
+void
+CrashLimiter::OnConnected(const UpstreamIncarnation& aUpstream, TimePoint aNow)
+{
+  mFailedConnects.erase(aUpstream);
+  for (auto next = mExchanges.begin(); next != mExchanges.end();) {
+    const auto current = next++;
+    const auto& exchange = current->second;
+    if (exchange.mUpstream == aUpstream && exchange.mLostAt &&
+        aNow - *exchange.mLostAt >= mOptions.mListenerCloseTime) {
+      Erase(current);
+    }
+  }
+}
+
+void
+CrashLimiter::OnConnectFailed(const UpstreamIncarnation& aUpstream, TimePoint aNow)
+{
+  mFailedConnects[aUpstream] = aNow;
+  for (auto next = mExchanges.begin(); next != mExchanges.end();) {
+    const auto current = next++;
+    const auto& exchange = current->second;
+    if (exchange.mUpstream == aUpstream && exchange.mLostAt &&
+        aNow - *exchange.mLostAt < mOptions.mLossWindow) {
+      AddCrash(exchange, aNow);
+      Erase(current);
+    }
+  }
+}
+
+void
+CrashLimiter::OnReport(const VmId& aVm, const RequestCrashes& aReport, TimePoint aNow)
+{
+  if (aReport.mUpstreams.empty()) {
+    const auto suspect = mSuspects.find(aReport.mFingerprint);
+    if (suspect != mSuspects.end()) {
+      suspect->second.mReported.erase(aVm);
+    }
+    return;
+  }
+  auto& suspect = MakeSuspect(aReport.mFingerprint, aNow);
+  suspect.mReported[aVm] = aReport.mUpstreams;
+  suspect.mLastCrashAt = aNow;
+}
+
+std::vector<RequestCrashes>
+CrashLimiter::Tick(TimePoint aNow)
+{
+  std::vector<RequestCrashes> reports;
+  for (auto& [request, suspect] : mSuspects) {
+    if (IsReportDue(suspect, aNow)) {
+      suspect.mPublished = suspect.mObserved;
+      reports.push_back({ request, suspect.mObserved });
+    }
+  }
+  Expire(aNow);
+  return reports;
+}
+
+bool
+CrashLimiter::IsReportDue(const Suspect& aSuspect, TimePoint aNow) const
+{
+  if (aSuspect.mObserved == aSuspect.mPublished) {
+    return false;
+  }
+  return aSuspect.mObserved.empty() || CrashCount(aSuspect) >= mOptions.mMaxCrashes ||
+         aNow - aSuspect.mFirstObservedAt >= mOptions.mReportDelay;
+}
+
+void
+CrashLimiter::Expire(TimePoint aNow)
+{
+  std::erase_if(mSuspects, [this, aNow](const auto& aItem) {
+    const auto& suspect = aItem.second;
+    const bool isCleared = suspect.mObserved.empty() && suspect.mReported.empty();
+    return isCleared || aNow - suspect.mLastCrashAt >= mOptions.mMemory;
+  });
+  std::erase_if(mFailedConnects, [this, aNow](const auto& aItem) {
+    return aNow - aItem.second >= mOptions.mLossWindow;
+  });
+  for (auto next = mExchanges.begin(); next != mExchanges.end();) {
+    const auto current = next++;
+    const auto& lostAt = current->second.mLostAt;
+    if (lostAt && aNow - *lostAt >= mOptions.mLossWindow) {
+      Erase(current);
+    }
+  }
+}
+
+std::size_t
+CrashLimiter::CrashCount(const Suspect& aSuspect)
+{
+  auto crashed = aSuspect.mObserved;
+  for (const auto& [vm, upstreams] : aSuspect.mReported) {
+    crashed.insert(upstreams.begin(), upstreams.end());
+  }
+  return crashed.size();
+}
+
+const CrashLimiter::Suspect*
+CrashLimiter::FindSuspect(RequestFingerprint aRequest, TimePoint aNow) const
+{
+  const auto found = mSuspects.find(aRequest);
+  const bool isKnown =
+    found != mSuspects.end() && aNow - found->second.mLastCrashAt < mOptions.mMemory;
+  return isKnown ? &found->second : nullptr;
+}
+
+/// The suspect of a request. Above mMaxRequests, a new one replaces the one whose last
+/// crash is the oldest.
+CrashLimiter::Suspect&
+CrashLimiter::MakeSuspect(RequestFingerprint aRequest, TimePoint aNow)
+{
+  const auto found = mSuspects.find(aRequest);
+  if (found != mSuspects.end()) {
+    return found->second;
+  }
+  if (mSuspects.size() >= mOptions.mMaxRequests) {
+    mSuspects.erase(std::ranges::min_element(
+      mSuspects, {}, [](const auto& aItem) { return aItem.second.mLastCrashAt; }));
+  }
+  auto& suspect = mSuspects[aRequest];
+  suspect.mLastCrashAt = aNow;
+  return suspect;
+}
+
+void
+CrashLimiter::AddCrash(const Exchange& aExchange, TimePoint aNow)
+{
+  auto& suspect = MakeSuspect(aExchange.mRequest, aNow);
+  if (suspect.mObserved.empty()) {
+    suspect.mFirstObservedAt = aNow;
+  }
+  suspect.mObserved.insert(aExchange.mUpstream);
+  suspect.mLastCrashAt = aNow;
+}
+
+void
+CrashLimiter::Erase(ExchangeMap::iterator aExchange)
+{
+  const auto count = mExchangeCounts.find(aExchange->second.mRequest);
+  if (--count->second == 0) {
+    mExchangeCounts.erase(count);
+  }
+  mExchanges.erase(aExchange);
+}
+
+} // namespace wasabispar
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -167,6 +167,11 @@
       ++mConnections;
     }
   }
+  if (aExchange->Request().Path() == mCrashPath) {
+    // The server must not end within its own callback.
+    mWorker.Post([this] { Kill(); });
+    return;
+  }
   aExchange->OnGone([this] { ++mAbandoned; });
   if (mBehaviour == FakeBehaviour::Silent) {
     mUnansweredExchanges.push_back(aExchange);
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -67,6 +67,9 @@
   std::size_t OpenConnections() const { return mServer->Counts().mOpen; }
 
   FakeBehaviour mBehaviour = FakeBehaviour::Answer;
+  /// A request with this path ends the upstream's process before any answer, as Kill()
+  /// does; empty: no request does.
+  std::string mCrashPath;
   /// Time from a request to its answer.
   Duration mDelay{};
   std::string mBody = "body";
