Fleet transport: dial from the address that the fleet knows

A VM accepts messages only from the IP address by which the fleet knows the sender; the dialer left the source address to the kernel, which takes 127.0.0.1 between loopback addresses (and may take another one on a VM with several addresses).

Change: the dialer is bound to the IP address of the listener.

Test: "messages come from the address that the sender listens on", red before (the message is counted as not accepted), green now.

--- a/src/wasabispar/net/fleet_transport.cpp
+++ b/src/wasabispar/net/fleet_transport.cpp
@@ -15,6 +15,7 @@
 #include <deque>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -101,6 +102,9 @@
       }
       nng_dialer_set_ms(dialer, NNG_OPT_RECONNMINT, kMinReconnectDelayMs);
       nng_dialer_set_ms(dialer, NNG_OPT_RECONNMAXT, kMaxReconnectDelayMs);
+      if (mOwner.mLocalAddress) {
+        nng_dialer_set_addr(dialer, NNG_OPT_LOCADDR, &*mOwner.mLocalAddress);
+      }
       return nng_dialer_start(dialer, NNG_FLAG_NONBLOCK);
     }
 
@@ -397,10 +401,24 @@
       return NngFailure("read port", aEndpoint, code);
     }
     mPort = static_cast<std::uint16_t>(port);
+    mLocalAddress = SourceAddress(listener);
     StartReceive();
     return {};
   }
 
+  /// The address for outgoing connections: the IP address that @p aListener is bound to,
+  /// because receivers compare it with the sender's. Empty if it is not bound to one.
+  static std::optional<nng_sockaddr> SourceAddress(nng_listener aListener)
+  {
+    nng_sockaddr address{};
+    const int code = nng_listener_get_addr(aListener, NNG_OPT_LOCADDR, &address);
+    if (code != 0 || address.s_family != NNG_AF_INET || address.s_in.sa_addr == 0) {
+      return std::nullopt;
+    }
+    address.s_in.sa_port = 0;
+    return address;
+  }
+
   void StartReceive()
   {
     {
@@ -568,6 +586,8 @@
   bool mHasPullSocket = false;
   nng_aio* mReceiveAio = nullptr;
   std::atomic<std::uint16_t> mPort{ 0 };
+  /// Set by Listen(), before the first message is sent; empty if the kernel chooses.
+  std::optional<nng_sockaddr> mLocalAddress;
   /// Guards the members down to mIsReceiveClosed.
   std::mutex mReceiveMutex;
   std::condition_variable mReceiveIdle;
--- a/src/wasabispar/net/fleet_transport_test.cpp
+++ b/src/wasabispar/net/fleet_transport_test.cpp
@@ -69,7 +69,7 @@
   std::thread mThread;
 };
 
-/// A transport that records received messages. It accepts senders on loopback, except
+/// A transport that records received messages. It accepts senders at mSenderIp, except
 /// "stranger" and incarnations below 2.
 struct Node
 {
@@ -79,7 +79,7 @@
         { [this](std::function<void()> aFn) { mExecutor.Post(aFn); },
           [this](const VmId& aVm, Incarnation aIncarnation, std::string_view aIp) {
             return aVm != VmId("stranger") && aIncarnation >= Incarnation(2) &&
-                   aIp == "127.0.0.1" && !mRejectsAll;
+                   aIp == mSenderIp && !mRejectsAll;
           },
           [this](const FleetEnvelope& aEnvelope, std::string_view aAddress) {
             const std::lock_guard lock(mMutex);
@@ -111,6 +111,8 @@
   std::vector<FleetEnvelope> mReceived;
   std::string mLastAddress;
   std::atomic<bool> mRejectsAll{ false };
+  /// May be changed before Start().
+  std::string mSenderIp = "127.0.0.1";
   FleetTransport mTransport;
 };
 
@@ -171,6 +173,22 @@
   CHECK(left.mTransport.Counters().mBytesOut == right.mTransport.Counters().mBytesIn);
 }
 
+/// Guards against VMs with several addresses that never join: the kernel chose another
+/// source address than the one that the fleet knows, so the others rejected all messages.
+TEST_CASE("messages come from the address that the sender listens on")
+{
+  FleetTransportOptions options;
+  options.mSendTimeout = 10s;
+  Node sender(options);
+  Node receiver;
+  receiver.mSenderIp = "127.0.0.2";
+  sender.Start("tcp://127.0.0.2:0");
+  receiver.Start();
+  sender.mTransport.Send(receiver.Endpoint(), MessageBytes("sender", 2, 1));
+  CHECK(WaitFor([&] { return receiver.Count() == 1; }, 3s));
+  CHECK(receiver.mTransport.Counters().mNotAccepted == 0);
+}
+
 TEST_CASE("a message to a peer that is not connected fails after 200 ms")
 {
   // Guards against senders that block on a dead VM.
