Upstreams: heed an answer that announces that its upstream leaves

A searcher that leaves says so in each of its answers, with Server-Leaving: 1; from then on it must get nothing new from the VM, whatever the store says. Nothing in the code knew of it. Besides, a request that waited for a connection to an upstream stayed there when the upstream started to drain, until the attempt to connect ended (400 ms).

Queued requests are withdrawn from the pool and placed again, without a retry being counted; none is sent after the check right before its first byte.

Not done: other VMs are not told.

--- a/include/wasabispar/gateway/gateway.hpp
+++ b/include/wasabispar/gateway/gateway.hpp
@@ -36,6 +36,10 @@
   std::uint64_t mMaxResponseBytes = 32 * 1024 * 1024;
   /// Limit on the upstreams that one request may crash.
   CrashLimiterOptions mCrashLimit;
+  /// Called when an upstream announced in an answer that it leaves. Must report the
+  /// change by Gateway::OnUpstreamChanges(), before it returns if it is to take effect at
+  /// once.
+  std::function<void(const UpstreamRecord&)> mOnLeavingAnnounced;
   /// Tells the other VMs which upstreams crashed with a request. May be empty.
   std::function<void(const RequestCrashes&)> mPublishCrashes;
 };
@@ -60,6 +64,8 @@
   prometheus::Histogram& mFanOutLatency;
   /// Reports to the other VMs on requests that crash upstreams.
   prometheus::Counter& mCrashReports;
+  /// Upstreams that announced in an answer that they leave.
+  prometheus::Counter& mLeavingAnnouncements;
   /// Parts missing in merged answers.
   prometheus::Counter& mMissingParts;
   /// Log lines dropped by the rate limit of TraceLog.
@@ -109,6 +115,8 @@
   /// Maintains the pools, publishes crashes and counts dropped log lines.
   void Tick();
   void PublishCrashes(TimePoint aNow);
+  /// An answer of the upstream to this request announced that it leaves.
+  void OnLeavingAnnounced(const Replica& aReplica, const CallerRequestId& aRequest);
   /// The pool of a service; created when there is none.
   ServicePool& PoolOf(const ServiceName& aService);
   /// Refuses a request that was not routed; @p aRequest is null when it is malformed.
--- a/include/wasabispar/gateway/protocol.hpp
+++ b/include/wasabispar/gateway/protocol.hpp
@@ -53,6 +53,9 @@
   };
   Kind mKind = Kind::Invalid;
   AnswerSignature mSignature;
+  /// The upstream announced that it leaves. False unless the response belongs to this
+  /// request and comes from the expected upstream.
+  bool mIsLeaving = false;
   /// The response to forward, without hop-by-hop headers.
   HttpResponse mResponse;
 };
--- a/include/wasabispar/gateway/service_pool.hpp
+++ b/include/wasabispar/gateway/service_pool.hpp
@@ -163,6 +163,9 @@
   ReplicaPtr Create(const UpstreamRecord& aRecord);
   /// Removes an upstream. Its running exchanges may finish.
   void Retire(const ReplicaPtr& aReplica);
+  /// Withdraws the requests that wait for a connection to the upstream, so that they are
+  /// placed again.
+  void WithdrawQueued(Replica& aReplica);
   /// The upstream with this id; null when there is none.
   ReplicaPtr Find(const UpstreamId& aId) const;
   /// The usable and reachable upstreams that are not among @p aTried.
--- a/include/wasabispar/net/connection_pool.hpp
+++ b/include/wasabispar/net/connection_pool.hpp
@@ -140,6 +140,8 @@
   /// probe a second ignores the reconnect delay. Does nothing if the quota does not allow
   /// it.
   void Probe();
+  /// @brief Ends all queued requests as ConnectFailed, with no byte sent.
+  void WithdrawQueued(const std::string& aCause) { FailQueued(aCause); }
   /// @brief Closes all connections and ends queued and running requests.
   void Stop();
   /// @brief Closes all connections and drops queued and running requests without calling
--- a/include/wasabispar/routing/upstream_directory.hpp
+++ b/include/wasabispar/routing/upstream_directory.hpp
@@ -86,6 +86,11 @@
 /// therefore pending until a grace period has passed, and a new registration cancels
 /// them. The same applies to a bulk removal of upstreams that did not drain first,
 /// because the registry is the likely cause. Draining upstreams are removed at once.
+///
+/// What an upstream says of itself in an answer goes before all that the registry says of
+/// the same incarnation, because the registry learns of it later or not at all. An
+/// incarnation that has announced that it leaves is draining for good, whatever is
+/// written, read or relayed of it; a new incarnation starts anew.
 class UpstreamDirectory
 {
 public:
@@ -101,11 +106,14 @@
   /// upstreams among @p aEntries and removes all others as Remove() does.
   Changes ReplaceAll(const std::vector<RegistryEntry>& aEntries, Revision aRevision,
                      TimePoint aNow);
+  /// @brief The upstream of @p aRecord said in an answer that it leaves. Ignored if the
+  /// directory holds another incarnation of it.
+  Changes OnLeavingAnnounced(const UpstreamRecord& aRecord, TimePoint aNow);
   /// @brief The registry answers again after an outage: defers removals for a grace
   /// period.
   void OnRegistryRecovered(TimePoint aNow);
   /// @brief Executes pending removals whose grace period has ended, and discards expired
-  /// tombstones.
+  /// tombstones and announcements.
   Changes Tick(TimePoint aNow);
 
   /// @brief All upstreams, including those with a pending removal.
@@ -115,13 +123,25 @@
   /// Whether an upstream is in the directory and its last event is not newer than the
   /// removal.
   bool IsInEffect(const RegistryRemoval& aRemoval) const;
-  /// Whether removals of @p aCount upstreams that are not draining must wait for the grace
-  /// period.
+  /// Whether removals of @p aCount upstreams that are not draining must wait for the
+  /// grace period.
   bool MustDeferRemovals(std::size_t aCount, TimePoint aNow) const;
+  /// The record with the state that is in effect.
+  UpstreamRecord WithAnnouncement(UpstreamRecord aRecord) const;
   /// Removes an upstream, leaves a tombstone and adds the change to @p aChanges.
   void Erase(const UpstreamId& aId, TimePoint aNow, Changes& aChanges);
 
+  /// An incarnation that announced that it leaves.
+  struct Announcement
+  {
+    UpstreamRecord mRecord;
+    TimePoint mAnnouncedAt{};
+  };
+
   std::map<UpstreamId, UpstreamRecord> mUpstreams;
+  /// Kept until a new incarnation is registered, also after the removal: an entry that
+  /// lapsed may come back.
+  std::map<UpstreamId, Announcement> mAnnouncements;
   /// The last event of an id; a tombstone once the upstream was removed.
   struct LastEvent
   {
--- a/src/wasabispar/gateway/active_request.cpp
+++ b/src/wasabispar/gateway/active_request.cpp
@@ -416,6 +416,9 @@
                              TimePoint aNow)
 {
   auto& load = aExchange.mReplica->mLoad;
+  if (aReply.mIsLeaving) {
+    mGateway.OnLeavingAnnounced(*aExchange.mReplica, mRequest.mId);
+  }
   switch (aReply.mKind) {
     case UpstreamReply::Kind::Answer:
       load.OnAnswered(aExchange.mId, aNow);
@@ -463,7 +466,10 @@
     mFanOutState.OnLost(aPart);
     return;
   }
-  Launch(aPart, TraceStep::Retried);
+  // Nothing was sent yet if the only upstream asked started to drain while the request
+  // waited for a connection.
+  const bool isFirst = aEnd == TraceStep::Unreachable && part.mPossibleRunCount == 0;
+  Launch(aPart, isFirst ? TraceStep::Sent : TraceStep::Retried);
 }
 
 bool
--- a/src/wasabispar/gateway/gateway.cpp
+++ b/src/wasabispar/gateway/gateway.cpp
@@ -85,6 +85,9 @@
   , mCrashReports(
       aMetrics.Counter("wasabispar_gateway_crash_reports_total",
                        "Reports to other VMs on requests that crash upstreams."))
+  , mLeavingAnnouncements(
+      aMetrics.Counter("wasabispar_gateway_leaving_announcements_total",
+                       "Upstreams that announced in an answer that they leave."))
   , mMissingParts(aMetrics.Counter("wasabispar_gateway_missing_parts_total",
                                    "Parts left out of merged answers."))
   , mTraceLinesDropped(aMetrics.Counter("wasabispar_gateway_trace_lines_dropped_total",
@@ -161,6 +164,22 @@
   }
 }
 
+void
+Gateway::OnLeavingAnnounced(const Replica& aReplica, const CallerRequestId& aRequest)
+{
+  const auto& record = aReplica.mRecord;
+  if (record.mState == UpstreamState::Draining || !mOptions.mOnLeavingAnnounced) {
+    return;
+  }
+  LogEvent(LogLevel::Info, "upstream-announced-leaving",
+           { { "upstream", record.mId.Text() },
+             { "service", record.mService.Text() },
+             { "request", aRequest.Text() } });
+  mMetrics.mLeavingAnnouncements.Increment();
+  // The hook may change the record.
+  mOptions.mOnLeavingAnnounced(UpstreamRecord(record));
+}
+
 void
 Gateway::OnCrashReport(const VmId& aVm, const RequestCrashes& aReport)
 {
--- a/src/wasabispar/gateway/service_pool.cpp
+++ b/src/wasabispar/gateway/service_pool.cpp
@@ -2,6 +2,9 @@
 /// @brief Choice of upstreams, their connection pools and the expected wait.
 #include "wasabispar/gateway/service_pool.hpp"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -107,6 +110,9 @@
   }
   if (existing && aChange.mKind != UpstreamChange::Kind::Replaced) {
     existing->mRecord = aChange.mRecord;
+    if (!existing->IsUsable()) {
+      WithdrawQueued(*existing);
+    }
     return false;
   }
   if (existing) {
@@ -186,9 +192,20 @@
 ServicePool::Retire(const ReplicaPtr& aReplica)
 {
   aReplica->mRecord.mState = UpstreamState::Draining;
+  WithdrawQueued(*aReplica);
   std::erase(mReplicas, aReplica);
 }
 
+/// Posted, because the requests are placed again when they are withdrawn, and the caller
+/// may be in the middle of its own change.
+void
+ServicePool::WithdrawQueued(Replica& aReplica)
+{
+  boost::asio::post(mContext, [pool = aReplica.mConnectionPool] {
+    pool->WithdrawQueued("upstream takes no new requests");
+  });
+}
+
 ReplicaPtr
 ServicePool::Find(const UpstreamId& aId) const
 {
--- a/src/wasabispar/routing/upstream_directory.cpp
+++ b/src/wasabispar/routing/upstream_directory.cpp
@@ -15,17 +15,25 @@
 constexpr Duration kReregistrationGrace = std::chrono::milliseconds(2200);
 /// Time for which a tombstone is kept. An event that arrives later is taken as new.
 constexpr Duration kTombstoneRetention = std::chrono::seconds(60);
+/// Time for which the announcement of an upstream is kept that is not in the directory.
+constexpr Duration kAnnouncementRetention = std::chrono::minutes(10);
 /// Removals at once are deferred when there are more than the threshold and more than all
 /// upstreams divided by the divisor.
 constexpr std::size_t kBulkRemovalThreshold = 3;
 constexpr std::size_t kBulkRemovalDivisor = 8;
 
+bool
+IsSameIncarnation(const UpstreamRecord& aLeft, const UpstreamRecord& aRight)
+{
+  return aLeft.mStartedUnixMs == aRight.mStartedUnixMs &&
+         aLeft.mAddress == aRight.mAddress && aLeft.mService == aRight.mService;
+}
+
 /// The kind of a change between two different records of an upstream.
 UpstreamChange::Kind
 KindOf(const UpstreamRecord& aOld, const UpstreamRecord& aNew)
 {
-  if (aOld.mStartedUnixMs != aNew.mStartedUnixMs || aOld.mAddress != aNew.mAddress ||
-      aOld.mService != aNew.mService) {
+  if (!IsSameIncarnation(aOld, aNew)) {
     return UpstreamChange::Kind::Replaced;
   }
   const bool drains =
@@ -54,16 +62,44 @@
   }
   last = { aRevision, {} };
   mPendingRemovals.erase(aRecord.mId);
+  const auto record = WithAnnouncement(aRecord);
   if (existing == mUpstreams.end()) {
-    mUpstreams.emplace(aRecord.mId, aRecord);
-    return { { UpstreamChange::Kind::Added, aRecord } };
+    mUpstreams.emplace(record.mId, record);
+    return { { UpstreamChange::Kind::Added, record } };
+  }
+  if (existing->second == record) {
+    return {};
+  }
+  const auto kind = KindOf(existing->second, record);
+  existing->second = record;
+  return { { kind, record } };
+}
+
+UpstreamRecord
+UpstreamDirectory::WithAnnouncement(UpstreamRecord aRecord) const
+{
+  const auto announced = mAnnouncements.find(aRecord.mId);
+  if (announced != mAnnouncements.end() &&
+      IsSameIncarnation(announced->second.mRecord, aRecord)) {
+    aRecord.mState = UpstreamState::Draining;
   }
-  if (existing->second == aRecord) {
+  return aRecord;
+}
+
+UpstreamDirectory::Changes
+UpstreamDirectory::OnLeavingAnnounced(const UpstreamRecord& aRecord, TimePoint aNow)
+{
+  const auto existing = mUpstreams.find(aRecord.mId);
+  if (existing != mUpstreams.end() && !IsSameIncarnation(existing->second, aRecord)) {
+    return {};
+  }
+  mAnnouncements[aRecord.mId] = { aRecord, aNow };
+  if (existing == mUpstreams.end() ||
+      existing->second.mState == UpstreamState::Draining) {
     return {};
   }
-  const auto kind = KindOf(existing->second, aRecord);
-  existing->second = aRecord;
-  return { { kind, aRecord } };
+  existing->second.mState = UpstreamState::Draining;
+  return { { UpstreamChange::Kind::Draining, existing->second } };
 }
 
 bool
@@ -146,6 +182,13 @@
     const auto& removed = aItem.second.mRemovedAt;
     return removed && aNow - *removed > kTombstoneRetention;
   });
+  std::erase_if(mAnnouncements, [this, aNow](const auto& aItem) {
+    const auto& [id, announcement] = aItem;
+    const auto existing = mUpstreams.find(id);
+    return existing == mUpstreams.end()
+             ? aNow - announcement.mAnnouncedAt > kAnnouncementRetention
+             : !IsSameIncarnation(existing->second, announcement.mRecord);
+  });
   return changes;
 }
 
--- a/src/wasabispar/routing/upstream_directory_test.cpp
+++ b/src/wasabispar/routing/upstream_directory_test.cpp
@@ -170,3 +170,71 @@
   REQUIRE(changes.size() == 1);
   CHECK(changes[0].mRecord.mId == UpstreamId("u2"));
 }
+
+/// Guards against an upstream that gets requests again after it has announced that it
+/// leaves, because the registry learns of it later.
+TEST_CASE("nothing that the registry says brings an announced upstream back")
+{
+  auto directory = DirectoryOf(2);
+  const auto record = RecordOf("u0");
+  const auto changes = directory.OnLeavingAnnounced(record, kNow);
+  REQUIRE(changes.size() == 1);
+  CHECK(changes[0].mKind == Kind::Draining);
+  CHECK(changes[0].mRecord.mId == record.mId);
+  CHECK(directory.OnLeavingAnnounced(record, kNow + 1s).empty());
+
+  CHECK(directory.Upsert(record, Revision(60)).empty());
+  directory.OnRegistryRecovered(kNow);
+  const auto read = directory.ReplaceAll(
+    { { record, Revision(61) }, { RecordOf("u1"), Revision(11) } }, Revision(70), kNow);
+  CHECK(read.empty());
+  CHECK(directory.Upstreams().at(record.mId).mState == UpstreamState::Draining);
+}
+
+TEST_CASE("an announced upstream whose entry lapsed comes back as draining")
+{
+  auto directory = DirectoryOf(1);
+  directory.OnLeavingAnnounced(RecordOf("u0"), kNow);
+  CHECK(directory.Remove(Removals(1, Revision(50)), kNow).size() == 1);
+  directory.Tick(kNow + 5s);
+  const auto changes = directory.Upsert(RecordOf("u0"), Revision(60));
+  REQUIRE(changes.size() == 1);
+  CHECK(changes[0].mKind == Kind::Added);
+  CHECK(changes[0].mRecord.mState == UpstreamState::Draining);
+}
+
+TEST_CASE("an announcement of an upstream that is not registered yet counts")
+{
+  UpstreamDirectory directory;
+  CHECK(directory.OnLeavingAnnounced(RecordOf("u0"), kNow).empty());
+  directory.Tick(kNow + 1s);
+  CHECK(directory.Upsert(RecordOf("u0"), Revision(60)).at(0).mRecord.mState ==
+        UpstreamState::Draining);
+}
+
+TEST_CASE("an announcement ends with its incarnation")
+{
+  auto directory = DirectoryOf(1);
+  const auto old = RecordOf("u0");
+  directory.OnLeavingAnnounced(old, kNow);
+  auto restarted = old;
+  restarted.mStartedUnixMs = 2000;
+  const auto changes = directory.Upsert(restarted, Revision(60));
+  REQUIRE(changes.size() == 1);
+  CHECK(changes[0].mKind == Kind::Replaced);
+  CHECK(changes[0].mRecord.mState == UpstreamState::Serving);
+  // An answer of the old incarnation that arrives late.
+  CHECK(directory.OnLeavingAnnounced(old, kNow + 1s).empty());
+  CHECK(directory.Upsert(restarted, Revision(61)).empty());
+  CHECK(directory.Upstreams().at(old.mId).mState == UpstreamState::Serving);
+}
+
+/// Guards against a removal that is deferred although the upstream has announced it.
+TEST_CASE("a bulk removal of announced upstreams is applied at once")
+{
+  auto directory = DirectoryOf(20);
+  for (const auto& id : Ids(10)) {
+    directory.OnLeavingAnnounced(RecordOf(id.Text()), kNow);
+  }
+  CHECK(directory.Remove(Removals(10, Revision(50)), kNow).size() == 10);
+}
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -13,6 +13,7 @@
 constexpr auto kRequestIdHeader = "Test-Id";
 constexpr auto kTimeLeftHeader = "Test-Left-Ms";
 constexpr auto kSignatureHeader = "Test-Signature";
+constexpr auto kLeavingHeader = "Test-Leaving";
 
 /// The test protocol between callers and the gateway.
 CallerProtocol
@@ -90,6 +91,7 @@
     UpstreamReply reply;
     reply.mKind = KindOf(aRequest, aResponse);
     reply.mSignature = AnswerSignature(std::string(aResponse.Header(kSignatureHeader)));
+    reply.mIsLeaving = !aResponse.Header(kLeavingHeader).empty();
     reply.mResponse = std::move(aResponse);
     return reply;
   };
@@ -193,6 +195,8 @@
   response.mHeaders.push_back(
     { kRequestIdHeader, std::string(aExchange->Request().Header(kRequestIdHeader)) });
   response.mHeaders.push_back({ kSignatureHeader, "signed-by-" + mId });
+  response.mHeaders.insert(response.mHeaders.end(), mExtraHeaders.begin(),
+                           mExtraHeaders.end());
   response.mBody = mBody;
   switch (mBehaviour) {
     case FakeBehaviour::Shed:
@@ -238,6 +242,9 @@
   options.mPools.mConnectionQuotas = std::move(aQuotas);
   options.mPools.mIsRemote = [](const DataCentreId&) { return false; };
   options.mPools.mExtraLoad.mReserve = 100;
+  options.mOnLeavingAnnounced = [this](const UpstreamRecord& aRecord) {
+    mGateway->OnUpstreamChanges(mDirectory.OnLeavingAnnounced(aRecord, BootClock::now()));
+  };
   OnWorker([&] {
     mGateway = std::make_unique<Gateway>(mWorker, options, TestCallers(), TestUpstreams(),
                                          mMetrics);
@@ -255,16 +262,26 @@
   OnWorker([&] {
     mUpstreams.push_back(std::make_unique<FakeUpstream>(mWorker, aId));
     mGateway->OnUpstreamChanges(
-      { { UpstreamChange::Kind::Added, mUpstreams.back()->Record(aService) } });
+      mDirectory.Upsert(mUpstreams.back()->Record(aService), Revision(++mRevision)));
   });
   return *mUpstreams.back();
 }
 
 void
+GatewayFixture::WriteAgain(const FakeUpstream& aUpstream, const std::string& aService)
+{
+  OnWorker([&] {
+    mGateway->OnUpstreamChanges(
+      mDirectory.Upsert(aUpstream.Record(aService), Revision(++mRevision)));
+  });
+}
+
+UpstreamRecord
 GatewayFixture::AddUnconnectable(const std::string& aService, const std::string& aId)
 {
   using boost::asio::ip::tcp;
   constexpr int kBacklogConnections = 4;
+  UpstreamRecord record;
   OnWorker([&] {
     const tcp::endpoint any(boost::asio::ip::make_address("127.0.0.1"), 0);
     auto listener = std::make_unique<tcp::acceptor>(mWorker.Context());
@@ -276,7 +293,6 @@
       mBacklogConnections.back()->async_connect(listener->local_endpoint(),
                                                 [](boost::system::error_code) {});
     }
-    UpstreamRecord record;
     record.mId = UpstreamId(aId);
     record.mService = ServiceName(aService);
     record.mAddress =
@@ -285,6 +301,7 @@
     mFullListeners.push_back(std::move(listener));
     mGateway->OnUpstreamChanges({ { UpstreamChange::Kind::Added, record } });
   });
+  return record;
 }
 
 void
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -70,6 +70,8 @@
   /// A request with this path ends the upstream's process before any answer, as Kill()
   /// does; empty: no request does.
   std::string mCrashPath;
+  /// Further headers of each answer.
+  std::vector<HttpHeader> mExtraHeaders;
   /// Time from a request to its answer.
   Duration mDelay{};
   std::string mBody = "body";
@@ -122,8 +124,8 @@
   /// change.
   FakeUpstream& Add(const std::string& aService, const std::string& aId);
   /// @brief Adds an upstream whose connections never open, because the backlog of its
-  /// listener is full.
-  void AddUnconnectable(const std::string& aService, const std::string& aId);
+  /// listener is full. Returns its registry entry.
+  UpstreamRecord AddUnconnectable(const std::string& aService, const std::string& aId);
   /// @brief Replaces the routes of the gateway.
   void SetRoutes(std::vector<Route> aRoutes);
   /// @brief Sends a request for host `h` with the given timeout of the caller.
@@ -136,6 +138,8 @@
   /// @brief Runs @p aFn on the worker and waits for it.
   void OnWorker(const std::function<void()>& aFn);
   Gateway& GatewayUnderTest() { return *mGateway; }
+  /// @brief Writes the entry of an upstream to the registry once more, as serving.
+  void WriteAgain(const FakeUpstream& aUpstream, const std::string& aService);
 
 private:
   Metrics mMetrics;
@@ -145,6 +149,9 @@
   /// The listeners of AddUnconnectable() and the connections that fill their backlogs.
   std::vector<std::unique_ptr<boost::asio::ip::tcp::acceptor>> mFullListeners;
   std::vector<std::unique_ptr<boost::asio::ip::tcp::socket>> mBacklogConnections;
+  UpstreamDirectory mDirectory;
+  /// Revision of the last entry in mDirectory.
+  std::uint64_t mRevision = 0;
   /// Version of the current route table.
   std::uint64_t mVersion = 0;
   std::uint64_t mNextId = 0;
