Upstreams: leave one alone for as long as it asks with Retry-After

The header was never read.

Placement, hedges and retries skip the upstream, its queued requests are withdrawn and placed again, and the check right before the first byte refuses what is left. It does not count as a failure. When all upstreams of a service ask for quiet, requests are refused at once with the earliest end as the time to return.

Ruled out: 503 without the header and X-Not-Executed keep their meaning (tests unchanged).

--- a/include/wasabispar/gateway/gateway.hpp
+++ b/include/wasabispar/gateway/gateway.hpp
@@ -66,6 +66,8 @@
   prometheus::Counter& mCrashReports;
   /// Upstreams that announced in an answer that they leave.
   prometheus::Counter& mLeavingAnnouncements;
+  /// Answers in which an upstream asked to get nothing for a while.
+  prometheus::Counter& mQuietRequests;
   /// Parts missing in merged answers.
   prometheus::Counter& mMissingParts;
   /// Log lines dropped by the rate limit of TraceLog.
@@ -117,6 +119,9 @@
   void PublishCrashes(TimePoint aNow);
   /// An answer of the upstream to this request announced that it leaves.
   void OnLeavingAnnounced(const Replica& aReplica, const CallerRequestId& aRequest);
+  /// The answer of the upstream to this request asked for quiet; logs what it asked for.
+  void OnQuietRequested(ServicePool& aPool, Replica& aReplica,
+                        const UpstreamReply& aReply, const CallerRequestId& aRequest);
   /// The pool of a service; created when there is none.
   ServicePool& PoolOf(const ServiceName& aService);
   /// Refuses a request that was not routed; @p aRequest is null when it is malformed.
--- a/include/wasabispar/gateway/protocol.hpp
+++ b/include/wasabispar/gateway/protocol.hpp
@@ -56,6 +56,11 @@
   /// The upstream announced that it leaves. False unless the response belongs to this
   /// request and comes from the expected upstream.
   bool mIsLeaving = false;
+  /// Time for which the upstream, which was too busy for this request, wants no further
+  /// ones from this VM; empty if it states none. Valid as mIsLeaving.
+  std::optional<Duration> mQuietTime;
+  /// The value that was stated instead of a valid mQuietTime; empty if there was none.
+  std::string mInvalidQuietTime;
   /// The response to forward, without hop-by-hop headers.
   HttpResponse mResponse;
 };
--- a/include/wasabispar/gateway/service_pool.hpp
+++ b/include/wasabispar/gateway/service_pool.hpp
@@ -5,12 +5,14 @@
 
 #include "wasabispar/base/clock.hpp"
 #include "wasabispar/base/ids.hpp"
+#include "wasabispar/base/random.hpp"
 #include "wasabispar/base/timer_service.hpp"
 #include "wasabispar/fleet/regional_quota.hpp"
 #include "wasabispar/net/connection_pool.hpp"
 #include "wasabispar/routing/crash_limiter.hpp"
 #include "wasabispar/routing/extra_load_window.hpp"
 #include "wasabispar/routing/placement.hpp"
+#include "wasabispar/routing/quiet_period.hpp"
 #include "wasabispar/routing/replica_load.hpp"
 #include "wasabispar/routing/request_interval.hpp"
 #include "wasabispar/routing/upstream_directory.hpp"
@@ -44,6 +46,8 @@
   /// Connections that are kept open without traffic.
   std::size_t mMinConnections = 0;
   ReplicaLoad mLoad;
+  /// The upstream asked to get nothing from this VM for a while.
+  QuietPeriod mQuietPeriod;
   std::shared_ptr<ConnectionPool> mConnectionPool;
   /// Probes the upstream after a lost exchange.
   Subscription mProbeTimer;
@@ -69,6 +73,11 @@
     const auto kept = mIsOverflow ? mLoad.InFlight() : mMaxExchanges;
     return mConnections > kept ? mConnections - kept : 0;
   }
+  /// @brief Number of exchanges that may run at @p aNow at the same time.
+  std::size_t MaxExchanges(TimePoint aNow) const
+  {
+    return mQuietPeriod.MaxExchanges(mMaxExchanges, aNow);
+  }
   /// @brief Whether no connection is open and the last attempt to open one failed. The
   /// connection pool continues to try.
   bool IsUnreachable() const
@@ -144,8 +153,13 @@
   std::optional<Duration> BestExpectedLatency(const std::vector<UpstreamId>& aTried,
                                               TimePoint aNow) const;
   /// @brief Number of usable upstreams that are reachable and to which this VM may
-  /// connect.
+  /// connect. Those that asked for quiet count.
   std::size_t UsableCount() const;
+  /// @brief When the first of the usable upstreams may get a request, if all of them
+  /// asked for quiet; empty otherwise.
+  std::optional<TimePoint> QuietUntil(TimePoint aNow) const;
+  /// @brief The upstream asked to get nothing from this VM for @p aTime.
+  void OnQuietRequested(Replica& aReplica, Duration aTime, TimePoint aNow);
   /// @brief Expected time in the queue of a request that is added now. @p aAnswerBy is
   /// the last time at which its answer is on time.
   Duration ExpectedWait(std::uint32_t aPriority, TimePoint aAnswerBy,
@@ -180,6 +194,7 @@
   WaitQueue mQueue;
   ExtraLoadWindow mExtraLoad;
   RequestInterval mRequestInterval;
+  RandomFn mRandom;
 };
 
 } // namespace wasabispar
--- a/src/wasabispar/gateway/active_request.cpp
+++ b/src/wasabispar/gateway/active_request.cpp
@@ -141,7 +141,8 @@
 ActiveRequest::MayStillSend(std::size_t aPart, ExchangeId aExchange,
                             const Replica& aReplica, TimePoint aNow)
 {
-  if (!aReplica.IsUsable() || !IsCrashLimitKept(aPart, aNow)) {
+  const bool takesRequests = aReplica.IsUsable() && !aReplica.mQuietPeriod.IsQuiet(aNow);
+  if (!takesRequests || !IsCrashLimitKept(aPart, aNow)) {
     return false;
   }
   mGateway.mCrashLimiter.OnSent(aExchange, mParts[aPart].mFingerprint,
@@ -419,6 +420,8 @@
   if (aReply.mIsLeaving) {
     mGateway.OnLeavingAnnounced(*aExchange.mReplica, mRequest.mId);
   }
+  mGateway.OnQuietRequested(*aPart.mServicePool, *aExchange.mReplica, aReply,
+                            mRequest.mId);
   switch (aReply.mKind) {
     case UpstreamReply::Kind::Answer:
       load.OnAnswered(aExchange.mId, aNow);
@@ -427,7 +430,12 @@
       }
       return TraceStep::Answered;
     case UpstreamReply::Kind::NotRun:
-      load.OnShed(aExchange.mId, aNow);
+      // An upstream that asks for quiet is not a failing one.
+      if (aReply.mQuietTime) {
+        load.OnAbandoned(aExchange.mId);
+      } else {
+        load.OnShed(aExchange.mId, aNow);
+      }
       --aPart.mPossibleRunCount;
       return TraceStep::Shed;
     case UpstreamReply::Kind::WrongUpstream:
@@ -436,7 +444,11 @@
       --aPart.mPossibleRunCount;
       return TraceStep::Shed;
     case UpstreamReply::Kind::Failure:
-      load.OnLost(aExchange.mId, aNow);
+      if (aReply.mQuietTime) {
+        load.OnAbandoned(aExchange.mId);
+      } else {
+        load.OnLost(aExchange.mId, aNow);
+      }
       aPart.mFailure = std::move(aReply);
       return TraceStep::Failed;
     case UpstreamReply::Kind::Invalid:
@@ -616,13 +628,16 @@
 ActiveRequest::RetryAfter(TimePoint aNow) const
 {
   auto after = kMinRetryAfter;
+  std::optional<TimePoint> quietUntil;
   for (const auto& part : mParts) {
+    quietUntil = std::max(quietUntil, part.mServicePool->QuietUntil(aNow));
     const bool isDown = part.mServicePool->UsableCount() == 0;
     const auto wait =
       part.mServicePool->ExpectedWait(mRoute.mPriority, mFanOutState.AnswerBy(), aNow);
     after = std::max(after, isDown ? kMaxRetryAfter / 2 : wait);
   }
-  return std::min(after, kMaxRetryAfter);
+  const auto quiet = quietUntil.value_or(aNow) - aNow;
+  return std::max(quiet, std::min(after, kMaxRetryAfter));
 }
 
 void
--- a/src/wasabispar/gateway/gateway.cpp
+++ b/src/wasabispar/gateway/gateway.cpp
@@ -88,6 +88,9 @@
   , mLeavingAnnouncements(
       aMetrics.Counter("wasabispar_gateway_leaving_announcements_total",
                        "Upstreams that announced in an answer that they leave."))
+  , mQuietRequests(
+      aMetrics.Counter("wasabispar_gateway_quiet_requests_total",
+                       "Answers in which an upstream asked to get nothing for a while."))
   , mMissingParts(aMetrics.Counter("wasabispar_gateway_missing_parts_total",
                                    "Parts left out of merged answers."))
   , mTraceLinesDropped(aMetrics.Counter("wasabispar_gateway_trace_lines_dropped_total",
@@ -180,6 +183,34 @@
   mOptions.mOnLeavingAnnounced(UpstreamRecord(record));
 }
 
+void
+Gateway::OnQuietRequested(ServicePool& aPool, Replica& aReplica,
+                          const UpstreamReply& aReply, const CallerRequestId& aRequest)
+{
+  const auto& record = aReplica.mRecord;
+  if (!aReply.mInvalidQuietTime.empty()) {
+    LogEvent(LogLevel::Warning, "upstream-quiet-ignored",
+             { { "upstream", record.mId.Text() },
+               { "request", aRequest.Text() },
+               { "value", aReply.mInvalidQuietTime } });
+  }
+  if (!aReply.mQuietTime) {
+    return;
+  }
+  const auto now = BootClock::now();
+  const bool wasQuiet = aReplica.mQuietPeriod.IsQuiet(now);
+  aPool.OnQuietRequested(aReplica, *aReply.mQuietTime, now);
+  mMetrics.mQuietRequests.Increment();
+  if (!wasQuiet && aReplica.mQuietPeriod.IsQuiet(now)) {
+    LogEvent(LogLevel::Info, "upstream-quiet",
+             { { "upstream", record.mId.Text() },
+               { "service", record.mService.Text() },
+               { "request", aRequest.Text() },
+               { "for_ms", static_cast<std::uint64_t>(
+                             ToMilliseconds(*aReplica.mQuietPeriod.Until() - now)) } });
+  }
+}
+
 void
 Gateway::OnCrashReport(const VmId& aVm, const RequestCrashes& aReport)
 {
--- a/src/wasabispar/gateway/service_pool.cpp
+++ b/src/wasabispar/gateway/service_pool.cpp
@@ -45,6 +45,7 @@
   : mContext(aContext)
   , mOptions(std::move(aOptions))
   , mExtraLoad(mOptions.mExtraLoad)
+  , mRandom(SeededRandom(EntropySeed()))
 {
 }
 
@@ -242,14 +243,15 @@
   std::vector<ReplicaCandidate> candidates;
   for (std::size_t i = 0; i < mReplicas.size(); ++i) {
     const auto& replica = *mReplicas[i];
-    if (!replica.IsUsable() || replica.mMaxExchanges == 0 || replica.IsUnreachable() ||
+    const auto maxExchanges = replica.MaxExchanges(aNow);
+    if (!replica.IsUsable() || maxExchanges == 0 || replica.IsUnreachable() ||
         Contains(aTried, replica.mRecord.mId)) {
       continue;
     }
-    candidates.push_back(
-      { i, replica.mLoad.ExpectedLatency(aNow), replica.mLoad.FailureRatio(aNow),
-        replica.mLoad.InFlight(), replica.mMaxExchanges, replica.mRecord.mSlots,
-        replica.mIsRemote, replica.mLoad.IsAvoided(aNow), replica.mIsOverflow });
+    candidates.push_back({ i, replica.mLoad.ExpectedLatency(aNow),
+                           replica.mLoad.FailureRatio(aNow), replica.mLoad.InFlight(),
+                           maxExchanges, replica.mRecord.mSlots, replica.mIsRemote,
+                           replica.mLoad.IsAvoided(aNow), replica.mIsOverflow });
   }
   return candidates;
 }
@@ -290,6 +292,32 @@
     }));
 }
 
+std::optional<TimePoint>
+ServicePool::QuietUntil(TimePoint aNow) const
+{
+  std::optional<TimePoint> first;
+  for (const auto& replica : mReplicas) {
+    if (!replica->IsUsable() || replica->mMaxExchanges == 0) {
+      continue;
+    }
+    if (!replica->mQuietPeriod.IsQuiet(aNow)) {
+      return std::nullopt;
+    }
+    const auto until = *replica->mQuietPeriod.Until();
+    first = std::min(first.value_or(until), until);
+  }
+  return first;
+}
+
+void
+ServicePool::OnQuietRequested(Replica& aReplica, Duration aTime, TimePoint aNow)
+{
+  aReplica.mQuietPeriod.Request(aTime, aNow, mRandom);
+  if (aReplica.mQuietPeriod.IsQuiet(aNow)) {
+    WithdrawQueued(aReplica);
+  }
+}
+
 Duration
 ServicePool::ExpectedWait(std::uint32_t aPriority, TimePoint aAnswerBy,
                           TimePoint aNow) const
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -14,6 +14,7 @@
 constexpr auto kTimeLeftHeader = "Test-Left-Ms";
 constexpr auto kSignatureHeader = "Test-Signature";
 constexpr auto kLeavingHeader = "Test-Leaving";
+constexpr auto kQuietHeader = "Test-Quiet-Ms";
 
 /// The test protocol between callers and the gateway.
 CallerProtocol
@@ -92,6 +93,9 @@
     reply.mKind = KindOf(aRequest, aResponse);
     reply.mSignature = AnswerSignature(std::string(aResponse.Header(kSignatureHeader)));
     reply.mIsLeaving = !aResponse.Header(kLeavingHeader).empty();
+    if (const auto quiet = aResponse.Header(kQuietHeader); !quiet.empty()) {
+      reply.mQuietTime = std::chrono::milliseconds(std::stoll(std::string(quiet)));
+    }
     reply.mResponse = std::move(aResponse);
     return reply;
   };
