--- a/include/wasabispar/routing/upstream_directory.hpp
+++ b/include/wasabispar/routing/upstream_directory.hpp
@@ -101,11 +101,14 @@
   Changes Upsert(const UpstreamRecord& aRecord, Revision aRevision);
   /// @brief Applies removals that arrived together, at once or after the grace period.
   /// Ignores unknown ids and ids whose last event is newer than the removal.
-  Changes Remove(const std::vector<RegistryRemoval>& aRemovals, TimePoint aNow);
+  /// @param aSince the earliest time at which the registry may have made the removals;
+  /// the grace period begins then, or when the registry recovered.
+  Changes Remove(const std::vector<RegistryRemoval>& aRemovals, TimePoint aSince,
+                 TimePoint aNow);
   /// @brief Applies a complete read of the registry at @p aRevision: updates the
   /// upstreams among @p aEntries and removes all others as Remove() does.
   Changes ReplaceAll(const std::vector<RegistryEntry>& aEntries, Revision aRevision,
-                     TimePoint aNow);
+                     TimePoint aSince, TimePoint aNow);
   /// @brief The upstream of @p aRecord said in an answer that it leaves. Ignored if the
   /// directory holds another incarnation of it.
   Changes OnLeavingAnnounced(const UpstreamRecord& aRecord, TimePoint aNow);
@@ -115,6 +118,9 @@
   /// @brief Executes pending removals whose grace period has ended, and discards expired
   /// tombstones and announcements.
   Changes Tick(TimePoint aNow);
+  /// @brief When the grace period of the next pending removal ends; empty if there is
+  /// none.
+  std::optional<TimePoint> NextRemovalAt() const;
 
   /// @brief All upstreams, including those with a pending removal.
   const std::map<UpstreamId, UpstreamRecord>& Upstreams() const { return mUpstreams; }
--- a/src/wasabispar/routing/upstream_directory.cpp
+++ b/src/wasabispar/routing/upstream_directory.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <ranges>
 #include <set>
 
 namespace wasabispar {
@@ -111,7 +112,8 @@
 }
 
 UpstreamDirectory::Changes
-UpstreamDirectory::Remove(const std::vector<RegistryRemoval>& aRemovals, TimePoint aNow)
+UpstreamDirectory::Remove(const std::vector<RegistryRemoval>& aRemovals, TimePoint aSince,
+                          TimePoint aNow)
 {
   std::vector<RegistryRemoval> inEffect;
   std::ranges::copy_if(
@@ -121,7 +123,10 @@
     std::ranges::count_if(inEffect, [this](const RegistryRemoval& aRemoval) {
       return mUpstreams.at(aRemoval.mId).mState == UpstreamState::Serving;
     });
-  const bool mustDefer = MustDeferRemovals(static_cast<std::size_t>(abruptCount), aNow);
+  const auto graceEnd =
+    std::max(aSince, mRegistryRecoveredAt.value_or(aSince)) + kReregistrationGrace;
+  const bool mustDefer =
+    aNow < graceEnd && MustDeferRemovals(static_cast<std::size_t>(abruptCount), aNow);
   Changes changes;
   for (const auto& removal : inEffect) {
     const auto existing = mUpstreams.find(removal.mId);
@@ -130,7 +135,7 @@
     }
     mLastEvents[removal.mId].mRevision = removal.mRevision;
     if (mustDefer && existing->second.mState == UpstreamState::Serving) {
-      mPendingRemovals.try_emplace(removal.mId, aNow + kReregistrationGrace);
+      mPendingRemovals.try_emplace(removal.mId, graceEnd);
     } else {
       Erase(removal.mId, aNow, changes);
     }
@@ -140,7 +145,7 @@
 
 UpstreamDirectory::Changes
 UpstreamDirectory::ReplaceAll(const std::vector<RegistryEntry>& aEntries,
-                              Revision aRevision, TimePoint aNow)
+                              Revision aRevision, TimePoint aSince, TimePoint aNow)
 {
   Changes changes;
   std::set<UpstreamId> present;
@@ -155,7 +160,7 @@
       missing.push_back({ id, aRevision });
     }
   }
-  const auto removed = Remove(missing, aNow);
+  const auto removed = Remove(missing, aSince, aNow);
   changes.insert(changes.end(), removed.begin(), removed.end());
   return changes;
 }
@@ -192,6 +197,15 @@
   return changes;
 }
 
+std::optional<TimePoint>
+UpstreamDirectory::NextRemovalAt() const
+{
+  if (mPendingRemovals.empty()) {
+    return std::nullopt;
+  }
+  return std::ranges::min(mPendingRemovals | std::views::values);
+}
+
 bool
 UpstreamDirectory::MustDeferRemovals(std::size_t aCount, TimePoint aNow) const
 {
--- a/src/wasabispar/routing/upstream_directory_test.cpp
+++ b/src/wasabispar/routing/upstream_directory_test.cpp
@@ -60,7 +60,7 @@
 TEST_CASE("a removal while the registry is available is applied at once")
 {
   auto directory = DirectoryOf(20);
-  const auto changes = directory.Remove(Removals(1, Revision(50)), kNow);
+  const auto changes = directory.Remove(Removals(1, Revision(50)), kNow, kNow);
   REQUIRE(changes.size() == 1);
   CHECK(changes[0].mKind == Kind::Removed);
   CHECK(directory.Upstreams().size() == 19);
@@ -72,7 +72,7 @@
 {
   auto directory = DirectoryOf(20);
   directory.OnRegistryRecovered(kNow);
-  CHECK(directory.Remove(Removals(2, Revision(50)), kNow + 10ms).empty());
+  CHECK(directory.Remove(Removals(2, Revision(50)), kNow + 10ms, kNow + 10ms).empty());
   CHECK(directory.Tick(kNow + 2s).empty());
 
   auto reregistered = RecordOf("u0");
@@ -86,7 +86,7 @@
 TEST_CASE("a bulk removal of upstreams that did not drain is deferred")
 {
   auto directory = DirectoryOf(20);
-  CHECK(directory.Remove(Removals(10, Revision(50)), kNow).empty());
+  CHECK(directory.Remove(Removals(10, Revision(50)), kNow, kNow).empty());
   CHECK(directory.Upstreams().size() == 20);
   CHECK(directory.Tick(kNow + 3s).size() == 10);
 }
@@ -101,13 +101,13 @@
     REQUIRE(changes.size() == 1);
     CHECK(changes[0].mKind == Kind::Draining);
   }
-  CHECK(directory.Remove(Removals(10, Revision(50)), kNow).size() == 10);
+  CHECK(directory.Remove(Removals(10, Revision(50)), kNow, kNow).size() == 10);
 }
 
 TEST_CASE("an older event does not undo a newer one")
 {
   auto directory = DirectoryOf(1);
-  directory.Remove(Removals(1, Revision(50)), kNow);
+  directory.Remove(Removals(1, Revision(50)), kNow, kNow);
   CHECK(directory.Upsert(RecordOf("u0"), Revision(40)).empty());
   CHECK(directory.Upstreams().empty());
 }
@@ -119,7 +119,8 @@
   auto directory = DirectoryOf(2);
   directory.Upsert(RecordOf("u0"), Revision(55));
   const auto changes = directory.Remove(
-    { { UpstreamId("u0"), Revision(50) }, { UpstreamId("u1"), Revision(60) } }, kNow);
+    { { UpstreamId("u0"), Revision(50) }, { UpstreamId("u1"), Revision(60) } }, kNow,
+    kNow);
   REQUIRE(changes.size() == 1);
   CHECK(changes[0].mRecord.mId == UpstreamId("u1"));
   CHECK(directory.Upstreams().contains(UpstreamId("u0")));
@@ -135,7 +136,7 @@
   }
   auto removals = Removals(9, Revision(50));
   removals.push_back({ UpstreamId("u9"), Revision(60) });
-  CHECK(directory.Remove(removals, kNow).size() == 1);
+  CHECK(directory.Remove(removals, kNow, kNow).size() == 1);
 }
 
 TEST_CASE("a new incarnation or address of an id replaces the upstream")
@@ -166,7 +167,7 @@
   auto directory = DirectoryOf(3);
   const auto changes = directory.ReplaceAll(
     { { RecordOf("u0"), Revision(10) }, { RecordOf("u1"), Revision(11) } }, Revision(70),
-    kNow);
+    kNow, kNow);
   REQUIRE(changes.size() == 1);
   CHECK(changes[0].mRecord.mId == UpstreamId("u2"));
 }
@@ -185,8 +186,9 @@
 
   CHECK(directory.Upsert(record, Revision(60)).empty());
   directory.OnRegistryRecovered(kNow);
-  const auto read = directory.ReplaceAll(
-    { { record, Revision(61) }, { RecordOf("u1"), Revision(11) } }, Revision(70), kNow);
+  const auto read =
+    directory.ReplaceAll({ { record, Revision(61) }, { RecordOf("u1"), Revision(11) } },
+                         Revision(70), kNow, kNow);
   CHECK(read.empty());
   CHECK(directory.Upstreams().at(record.mId).mState == UpstreamState::Draining);
 }
@@ -195,7 +197,7 @@
 {
   auto directory = DirectoryOf(1);
   directory.OnLeavingAnnounced(RecordOf("u0"), kNow);
-  CHECK(directory.Remove(Removals(1, Revision(50)), kNow).size() == 1);
+  CHECK(directory.Remove(Removals(1, Revision(50)), kNow, kNow).size() == 1);
   directory.Tick(kNow + 5s);
   const auto changes = directory.Upsert(RecordOf("u0"), Revision(60));
   REQUIRE(changes.size() == 1);
@@ -236,5 +238,30 @@
   for (const auto& id : Ids(10)) {
     directory.OnLeavingAnnounced(RecordOf(id.Text()), kNow);
   }
-  CHECK(directory.Remove(Removals(10, Revision(50)), kNow).size() == 10);
+  CHECK(directory.Remove(Removals(10, Revision(50)), kNow, kNow).size() == 10);
+}
+
+/// Guards against upstreams that get requests too long after their removal, because the
+/// VM reads it some time after the registry made it.
+TEST_CASE("the grace period of a bulk removal begins when it may have been made")
+{
+  auto directory = DirectoryOf(20);
+  CHECK_FALSE(directory.NextRemovalAt());
+  CHECK(directory.Remove(Removals(10, Revision(50)), kNow, kNow + 700ms).empty());
+  CHECK(directory.NextRemovalAt() == kNow + 2200ms);
+  CHECK(directory.Tick(kNow + 2199ms).empty());
+  CHECK(directory.Tick(kNow + 2200ms).size() == 10);
+  CHECK_FALSE(directory.NextRemovalAt());
+  auto late = DirectoryOf(20);
+  CHECK(late.Remove(Removals(10, Revision(50)), kNow, kNow + 3s).size() == 10);
+}
+
+/// Guards against the removal of live upstreams whose entries lapsed in an outage: they
+/// have two seconds from the registry's return.
+TEST_CASE("the grace period does not begin before the registry recovers")
+{
+  auto directory = DirectoryOf(20);
+  directory.OnRegistryRecovered(kNow);
+  CHECK(directory.Remove(Removals(10, Revision(50)), kNow - 5s, kNow).empty());
+  CHECK(directory.NextRemovalAt() == kNow + 2200ms);
 }
