--- a/tests/gateway/leaving_test.cpp
+++ b/tests/gateway/leaving_test.cpp
@@ -121,3 +121,26 @@
   CHECK(answer.mResponse.mBody == "unavailable");
   CHECK(answer.mTook < 50ms);
 }
+
+/// Guards against an announcement that is overlooked because its request was answered by
+/// a hedge before.
+TEST_CASE_FIXTURE(LeavingUpstream, "an answer that comes after the hedge's announces it")
+{
+  OnWorker([this] {
+    mFirst.mDelay = 150ms;
+    mFirst.mExtraHeaders = { { "Test-Leaving", "1" } };
+    mSecond.mDelay = 5ms;
+  });
+  const auto before = mFirst.Requests();
+  CHECK(SendAndWait("/read/1").mTook < 150ms);
+  REQUIRE(mFirst.Requests() == before + 1);
+  std::this_thread::sleep_for(200ms);
+  OnWorker([this] {
+    mFirst.mDelay = {};
+    mSecond.mDelay = 60ms;
+  });
+  for (int i = 0; i < 10; ++i) {
+    SendAndWait("/read/2");
+  }
+  CHECK(mFirst.Requests() == before + 1);
+}
