--- a/include/wasabispar/gateway/service_pool.hpp
+++ b/include/wasabispar/gateway/service_pool.hpp
@@ -155,9 +155,10 @@
   /// @brief Number of usable upstreams that are reachable and to which this VM may
   /// connect. Those that asked for quiet count.
   std::size_t UsableCount() const;
-  /// @brief When the first of the usable upstreams may get a request, if all of them
-  /// asked for quiet; empty otherwise.
-  std::optional<TimePoint> QuietUntil(TimePoint aNow) const;
+  /// @brief Time after which a caller should return if all usable upstreams asked for
+  /// quiet: until the first of them may get a request, and up to a quarter more at
+  /// random, so that the callers do not all return together. Empty otherwise.
+  std::optional<Duration> ReturnDelay(TimePoint aNow) const;
   /// @brief The upstream asked to get nothing from this VM for @p aTime.
   void OnQuietRequested(Replica& aReplica, Duration aTime, TimePoint aNow);
   /// @brief Expected time in the queue of a request that is added now. @p aAnswerBy is
@@ -173,6 +174,11 @@
 private:
   /// Applies the quota of this VM to an upstream.
   static void ApplyQuota(Replica& aReplica, const ConnectionQuota& aQuota);
+  /// When the first of the usable upstreams may get a request, if all of them asked for
+  /// quiet; empty otherwise.
+  std::optional<TimePoint> QuietUntil(TimePoint aNow) const;
+  /// The callbacks of the connection pool of an upstream.
+  ConnectionPoolHooks MakePoolHooks(const std::weak_ptr<Replica>& aReplica) const;
   /// Creates an upstream with its connection pool.
   ReplicaPtr Create(const UpstreamRecord& aRecord);
   /// Removes an upstream. Its running exchanges may finish.
--- a/src/wasabispar/gateway/service_pool.cpp
+++ b/src/wasabispar/gateway/service_pool.cpp
@@ -123,18 +123,12 @@
   return true;
 }
 
-ReplicaPtr
-ServicePool::Create(const UpstreamRecord& aRecord)
+ConnectionPoolHooks
+ServicePool::MakePoolHooks(const std::weak_ptr<Replica>& aReplica) const
 {
-  const bool isRemote = mOptions.mIsRemote && mOptions.mIsRemote(aRecord.mDataCentre);
-  auto replica =
-    std::make_shared<Replica>(isRemote ? kInitialRemoteLatency : kInitialLocalLatency);
-  replica->mRecord = aRecord;
-  replica->mIsRemote = isRemote;
-  const std::weak_ptr<Replica> weak = replica;
   ConnectionPoolHooks hooks;
   hooks.mNow = [] { return BootClock::now(); };
-  hooks.mTryReserveConnection = [weak] {
+  hooks.mTryReserveConnection = [weak = aReplica] {
     const auto self = weak.lock();
     if (!self || self->mConnections >= self->mMaxExchanges) {
       return false;
@@ -142,35 +136,36 @@
     ++self->mConnections;
     return true;
   };
-  hooks.mOnClosed = [weak] {
+  hooks.mOnClosed = [weak = aReplica] {
     if (const auto self = weak.lock()) {
       --self->mConnections;
     }
   };
-  hooks.mExcessConnections = [weak]() -> std::uint32_t {
+  hooks.mExcessConnections = [weak = aReplica]() -> std::uint32_t {
     const auto self = weak.lock();
     return self ? static_cast<std::uint32_t>(self->ExcessConnections()) : 0;
   };
-  hooks.mSlotLimit = [weak]() -> std::uint32_t {
+  hooks.mSlotLimit = [weak = aReplica]() -> std::uint32_t {
     const auto self = weak.lock();
     return self ? static_cast<std::uint32_t>(self->mMaxExchanges) : 0;
   };
-  hooks.mMinConnections = [weak]() -> std::size_t {
+  hooks.mMinConnections = [weak = aReplica]() -> std::size_t {
     const auto self = weak.lock();
     return self ? std::min(self->mMinConnections, self->mMaxExchanges) : 0;
   };
-  const auto onConnectEnd = [weak, report = mOptions.mOnConnectEnd](bool aIsOpened) {
+  const auto onConnectEnd = [weak = aReplica,
+                             report = mOptions.mOnConnectEnd](bool aIsOpened) {
     const auto self = weak.lock();
     if (self && report) {
       report(self->Incarnation(), aIsOpened);
     }
   };
-  hooks.mOnRefused = [weak] {
+  hooks.mOnRefused = [weak = aReplica] {
     if (const auto self = weak.lock()) {
       self->mLoad.OnConnectFailed(BootClock::now());
     }
   };
-  hooks.mOnConnected = [weak, onConnectEnd] {
+  hooks.mOnConnected = [weak = aReplica, onConnectEnd] {
     if (const auto self = weak.lock()) {
       self->mLoad.OnConnected();
     }
@@ -180,12 +175,23 @@
     onRefused();
     onConnectEnd(false);
   };
+  return hooks;
+}
+
+ReplicaPtr
+ServicePool::Create(const UpstreamRecord& aRecord)
+{
+  const bool isRemote = mOptions.mIsRemote && mOptions.mIsRemote(aRecord.mDataCentre);
+  auto replica =
+    std::make_shared<Replica>(isRemote ? kInitialRemoteLatency : kInitialLocalLatency);
+  replica->mRecord = aRecord;
+  replica->mIsRemote = isRemote;
   // The adapter has validated the address, so parsing does not fail.
   const auto endpoint =
     HandleError([&] { return Endpoint::Parse(aRecord.mAddress.Text()); },
                 [](const Error&) { return Endpoint{}; });
   replica->mConnectionPool = std::make_shared<ConnectionPool>(
-    mContext, endpoint, PoolOptions(mOptions.mResponseBudget), std::move(hooks));
+    mContext, endpoint, PoolOptions(mOptions.mResponseBudget), MakePoolHooks(replica));
   return replica;
 }
 
@@ -309,6 +315,20 @@
   return first;
 }
 
+std::optional<Duration>
+ServicePool::ReturnDelay(TimePoint aNow) const
+{
+  /// The part of the time by which it is extended at most.
+  constexpr Duration::rep kSpreadDivisor = 4;
+  const auto until = QuietUntil(aNow);
+  if (!until) {
+    return std::nullopt;
+  }
+  const auto delay = *until - aNow;
+  const auto spread = static_cast<std::uint64_t>(delay.count() / kSpreadDivisor);
+  return delay + Duration(static_cast<Duration::rep>(mRandom(spread + 1)));
+}
+
 void
 ServicePool::OnQuietRequested(Replica& aReplica, Duration aTime, TimePoint aNow)
 {
