Crash limit: count successive crashes; the linter's parser

Cause, found by reading: a frequent request (paths repeat) whose copies run on three upstreams that fail together, at one VM or several, was blocked for ten minutes though it is harmless.

Change: a crash counts one more than what was known when its copy was sent: the crashes seen here, those reported by other VMs, and the loss for which the copy was a retry (also if it turns out to be a crash only later). Three of them in succession block the request. The bound of "a request that crashes its upstreams reaches three of them" is unchanged.

Also: std::views in upstream_directory.cpp, which the linter (clang 14) can't parse.

--- a/include/wasabispar/gateway/crash_report_codec.hpp
+++ b/include/wasabispar/gateway/crash_report_codec.hpp
@@ -1,5 +1,5 @@
 /// @file
-/// @brief Reports of crashed upstreams as gossip entries between VMs.
+/// @brief Reports of requests that crash upstreams, as gossip entries between VMs.
 #pragma once
 
 #include "wasabispar/fleet/gossip_entry.hpp"
@@ -15,8 +15,7 @@
 std::string
 CrashReportKey(RequestFingerprint aRequest, const VmId& aVm);
 
-/// @brief The upstreams as a JSON array. Those beyond four are left out, which are more
-/// than CrashLimiter needs to block the request.
+/// @brief The number of successive crashes in decimal.
 std::string
 EncodeCrashReport(const RequestCrashes& aCrashes);
 
--- a/include/wasabispar/routing/crash_limiter.hpp
+++ b/include/wasabispar/routing/crash_limiter.hpp
@@ -10,7 +10,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <vector>
 
 namespace wasabispar {
@@ -25,12 +24,14 @@
   auto operator<=>(const UpstreamIncarnation&) const = default;
 };
 
-/// @brief The upstreams that crashed at one VM while they ran a request.
+/// @brief The crashes of upstreams with a request as one VM knows them.
 struct RequestCrashes
 {
   RequestFingerprint mFingerprint;
-  /// Empty once the request has completed at the VM, which clears its earlier crashes.
-  std::set<UpstreamIncarnation> mUpstreams;
+  /// Number of upstreams that crashed one after the other, each with a copy of the
+  /// request that was sent when the crash before was seen. 0 once the request has
+  /// completed at the VM, which clears its earlier crashes.
+  std::uint32_t mSuccessiveCrashes = 0;
 
   bool operator==(const RequestCrashes&) const = default;
 };
@@ -38,8 +39,8 @@
 /// @brief Settings of CrashLimiter.
 struct CrashLimiterOptions
 {
-  /// Number of upstreams that may crash with a request before it is blocked.
-  std::size_t mMaxCrashes = 3;
+  /// Number of successive crashes after which a request is blocked.
+  std::uint32_t mMaxCrashes = 3;
   /// How long the crashes of a request are remembered after the last one.
   Duration mMemory = std::chrono::minutes(10);
   /// A lost exchange and a failed attempt to connect at most this far apart are a crash.
@@ -59,10 +60,12 @@
 /// An upstream has crashed when it closed the connection of an exchange without an answer
 /// and a new connection to it fails. Each request that ran on it is a suspect. A request
 /// is blocked when, without a completion in between, mMaxCrashes upstreams crashed with
-/// it at this VM and the VMs that reported. A suspect that is not blocked is sent only as
-/// often at a time as upstreams may still crash, so that hedges and concurrent copies do
-/// not exceed the limit. Requests are identified by a fingerprint, because each attempt
-/// of a caller has a request id of its own.
+/// it in succession: each copy but the first was sent when the loss of the one before was
+/// seen, or when another VM had reported it. Upstreams that fail together, while copies
+/// of a frequent request run on each of them, are one crash in this sense. A suspect that
+/// is not blocked is sent only as often at a time as upstreams may still crash, so that
+/// hedges and concurrent copies do not exceed the limit. Requests are identified by a
+/// fingerprint, because each attempt of a caller has a request id of its own.
 class CrashLimiter
 {
 public:
@@ -79,7 +82,7 @@
 
   /// @brief A copy of the request is sent to the upstream.
   void OnSent(ExchangeId aExchange, RequestFingerprint aRequest,
-              const UpstreamIncarnation& aUpstream);
+              const UpstreamIncarnation& aUpstream, TimePoint aNow);
   /// @brief The upstream ran the request to its end: the request is no suspect any more.
   void OnCompleted(ExchangeId aExchange);
   /// @brief The upstream closed the connection before the end of its answer. A new
@@ -103,26 +106,35 @@
   {
     RequestFingerprint mRequest;
     UpstreamIncarnation mUpstream;
+    /// Successive crashes that were known when the copy was sent.
+    std::uint32_t mKnownCrashes = 0;
+    /// The last exchange of the request that had been lost then without it being clear
+    /// whether the upstream had crashed; 0 if there was none.
+    ExchangeId mPredecessor = 0;
     /// When the upstream closed the connection; empty while the exchange runs.
     std::optional<TimePoint> mLostAt;
   };
   /// A request with which upstreams crashed.
   struct Suspect
   {
-    /// Crashes that this VM observed, and those that other VMs reported.
-    std::set<UpstreamIncarnation> mObserved;
-    std::map<VmId, std::set<UpstreamIncarnation>> mReported;
+    /// Successive crashes, the last of which this VM observed, and those that other VMs
+    /// reported.
+    std::uint32_t mObserved = 0;
+    std::map<VmId, std::uint32_t> mReported;
+    /// Successive crashes up to each exchange that ended in a crash.
+    std::map<ExchangeId, std::uint32_t> mCrashedExchanges;
     TimePoint mFirstObservedAt{};
     TimePoint mLastCrashAt{};
     /// What the other VMs have learned from this one.
-    std::set<UpstreamIncarnation> mPublished;
+    std::uint32_t mPublished = 0;
   };
   using ExchangeMap = std::map<ExchangeId, Exchange>;
 
-  static std::size_t CrashCount(const Suspect& aSuspect);
+  static std::uint32_t CrashCount(const Suspect& aSuspect);
+  ExchangeId LastUnclearLoss(RequestFingerprint aRequest) const;
   const Suspect* FindSuspect(RequestFingerprint aRequest, TimePoint aNow) const;
   Suspect& MakeSuspect(RequestFingerprint aRequest, TimePoint aNow);
-  void AddCrash(const Exchange& aExchange, TimePoint aNow);
+  void AddCrash(ExchangeMap::const_iterator aExchange, TimePoint aNow);
   void Erase(ExchangeMap::iterator aExchange);
   bool IsReportDue(const Suspect& aSuspect, TimePoint aNow) const;
   void Expire(TimePoint aNow);
--- a/src/wasabispar/gateway/active_request.cpp
+++ b/src/wasabispar/gateway/active_request.cpp
@@ -140,7 +140,7 @@
     return false;
   }
   mGateway.mCrashLimiter.OnSent(aExchange, mParts[aPart].mFingerprint,
-                                aReplica.Incarnation());
+                                aReplica.Incarnation(), aNow);
   return true;
 }
 
--- a/src/wasabispar/gateway/gateway.cpp
+++ b/src/wasabispar/gateway/gateway.cpp
@@ -157,7 +157,7 @@
     LogEvent(
       LogLevel::Warning, "request-crashes",
       { { "fingerprint", report.mFingerprint.Value() },
-        { "upstreams", report.mUpstreams.size() },
+        { "crashes", std::uint64_t{ report.mSuccessiveCrashes } },
         { "blocked",
           mCrashLimiter.BlockedUntil(report.mFingerprint, aNow) ? "yes" : "no" } });
     mMetrics.mCrashReports.Increment();
@@ -217,7 +217,7 @@
   LogEvent(LogLevel::Info, "request-crashes-reported",
            { { "vm", aVm.Text() },
              { "fingerprint", aReport.mFingerprint.Value() },
-             { "upstreams", aReport.mUpstreams.size() } });
+             { "crashes", std::uint64_t{ aReport.mSuccessiveCrashes } } });
   mCrashLimiter.OnReport(aVm, aReport, BootClock::now());
 }
 
--- a/src/wasabispar/routing/crash_limiter.cpp
+++ b/src/wasabispar/routing/crash_limiter.cpp
@@ -3,7 +3,6 @@
 #include "wasabispar/routing/crash_limiter.hpp"
 
 #include <algorithm>
-#include <iterator>
 
 namespace wasabispar {
 
@@ -21,7 +20,8 @@
   }
   const auto count = mExchangeCounts.find(aRequest);
   const auto running = count == mExchangeCounts.end() ? 0 : count->second;
-  return CrashCount(*suspect) + running < mOptions.mMaxCrashes;
+  const auto crashes = CrashCount(*suspect);
+  return crashes == 0 || crashes + running < mOptions.mMaxCrashes;
 }
 
 std::optional<TimePoint>
@@ -36,13 +36,32 @@
 
 void
 CrashLimiter::OnSent(ExchangeId aExchange, RequestFingerprint aRequest,
-                     const UpstreamIncarnation& aUpstream)
+                     const UpstreamIncarnation& aUpstream, TimePoint aNow)
 {
-  if (mExchanges.emplace(aExchange, Exchange{ aRequest, aUpstream, {} }).second) {
+  const auto* suspect = FindSuspect(aRequest, aNow);
+  const Exchange exchange{
+    aRequest, aUpstream, suspect ? CrashCount(*suspect) : 0, LastUnclearLoss(aRequest), {}
+  };
+  if (mExchanges.emplace(aExchange, exchange).second) {
     ++mExchangeCounts[aRequest];
   }
 }
 
+CrashLimiter::ExchangeId
+CrashLimiter::LastUnclearLoss(RequestFingerprint aRequest) const
+{
+  if (!mExchangeCounts.contains(aRequest)) {
+    return 0;
+  }
+  ExchangeId last = 0;
+  for (const auto& [id, exchange] : mExchanges) {
+    if (exchange.mRequest == aRequest && exchange.mLostAt) {
+      last = id;
+    }
+  }
+  return last;
+}
+
 void
 CrashLimiter::OnCompleted(ExchangeId aExchange)
 {
@@ -52,8 +71,9 @@
   }
   const auto suspect = mSuspects.find(found->second.mRequest);
   if (suspect != mSuspects.end()) {
-    suspect->second.mObserved.clear();
+    suspect->second.mObserved = 0;
     suspect->second.mReported.clear();
+    suspect->second.mCrashedExchanges.clear();
   }
   Erase(found);
 }
@@ -67,7 +87,7 @@
   }
   const auto failed = mFailedConnects.find(found->second.mUpstream);
   if (failed != mFailedConnects.end() && aNow - failed->second < mOptions.mLossWindow) {
-    AddCrash(found->second, aNow);
+    AddCrash(found, aNow);
     Erase(found);
     return;
   }
@@ -106,7 +126,7 @@
     const auto& exchange = current->second;
     if (exchange.mUpstream == aUpstream && exchange.mLostAt &&
         aNow - *exchange.mLostAt < mOptions.mLossWindow) {
-      AddCrash(exchange, aNow);
+      AddCrash(current, aNow);
       Erase(current);
     }
   }
@@ -115,7 +135,7 @@
 void
 CrashLimiter::OnReport(const VmId& aVm, const RequestCrashes& aReport, TimePoint aNow)
 {
-  if (aReport.mUpstreams.empty()) {
+  if (aReport.mSuccessiveCrashes == 0) {
     const auto suspect = mSuspects.find(aReport.mFingerprint);
     if (suspect != mSuspects.end()) {
       suspect->second.mReported.erase(aVm);
@@ -123,7 +143,7 @@
     return;
   }
   auto& suspect = MakeSuspect(aReport.mFingerprint, aNow);
-  suspect.mReported[aVm] = aReport.mUpstreams;
+  suspect.mReported[aVm] = aReport.mSuccessiveCrashes;
   suspect.mLastCrashAt = aNow;
 }
 
@@ -147,7 +167,7 @@
   if (aSuspect.mObserved == aSuspect.mPublished) {
     return false;
   }
-  return aSuspect.mObserved.empty() || CrashCount(aSuspect) >= mOptions.mMaxCrashes ||
+  return aSuspect.mObserved == 0 || CrashCount(aSuspect) >= mOptions.mMaxCrashes ||
          aNow - aSuspect.mFirstObservedAt >= mOptions.mReportDelay;
 }
 
@@ -156,7 +176,7 @@
 {
   std::erase_if(mSuspects, [this, aNow](const auto& aItem) {
     const auto& suspect = aItem.second;
-    const bool isCleared = suspect.mObserved.empty() && suspect.mReported.empty();
+    const bool isCleared = suspect.mObserved == 0 && suspect.mReported.empty();
     return isCleared || aNow - suspect.mLastCrashAt >= mOptions.mMemory;
   });
   std::erase_if(mFailedConnects, [this, aNow](const auto& aItem) {
@@ -171,14 +191,14 @@
   }
 }
 
-std::size_t
+std::uint32_t
 CrashLimiter::CrashCount(const Suspect& aSuspect)
 {
-  auto crashed = aSuspect.mObserved;
-  for (const auto& [vm, upstreams] : aSuspect.mReported) {
-    crashed.insert(upstreams.begin(), upstreams.end());
+  auto crashes = aSuspect.mObserved;
+  for (const auto& [vm, reported] : aSuspect.mReported) {
+    crashes = std::max(crashes, reported);
   }
-  return crashed.size();
+  return crashes;
 }
 
 const CrashLimiter::Suspect*
@@ -209,13 +229,20 @@
 }
 
 void
-CrashLimiter::AddCrash(const Exchange& aExchange, TimePoint aNow)
+CrashLimiter::AddCrash(ExchangeMap::const_iterator aExchange, TimePoint aNow)
 {
-  auto& suspect = MakeSuspect(aExchange.mRequest, aNow);
-  if (suspect.mObserved.empty()) {
+  const auto& exchange = aExchange->second;
+  auto& suspect = MakeSuspect(exchange.mRequest, aNow);
+  if (suspect.mObserved == 0) {
     suspect.mFirstObservedAt = aNow;
   }
-  suspect.mObserved.insert(aExchange.mUpstream);
+  auto known = exchange.mKnownCrashes;
+  const auto predecessor = suspect.mCrashedExchanges.find(exchange.mPredecessor);
+  if (predecessor != suspect.mCrashedExchanges.end()) {
+    known = std::max(known, predecessor->second);
+  }
+  suspect.mCrashedExchanges[aExchange->first] = known + 1;
+  suspect.mObserved = std::max(suspect.mObserved, known + 1);
   suspect.mLastCrashAt = aNow;
 }
 
--- a/src/wasabispar/routing/upstream_directory.cpp
+++ b/src/wasabispar/routing/upstream_directory.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <ranges>
 #include <set>
 
 namespace wasabispar {
@@ -200,10 +199,9 @@
 std::optional<TimePoint>
 UpstreamDirectory::NextRemovalAt() const
 {
-  if (mPendingRemovals.empty()) {
-    return std::nullopt;
-  }
-  return std::ranges::min(mPendingRemovals | std::views::values);
+  const auto first = std::ranges::min_element(
+    mPendingRemovals, {}, [](const auto& aItem) { return aItem.second; });
+  return first == mPendingRemovals.end() ? std::nullopt : std::optional(first->second);
 }
 
 bool
