--- a/include/wasabispar/gateway/gateway.hpp
+++ b/include/wasabispar/gateway/gateway.hpp
@@ -64,10 +64,6 @@
   prometheus::Histogram& mFanOutLatency;
   /// Reports to the other VMs on requests that crash upstreams.
   prometheus::Counter& mCrashReports;
-  /// Upstreams that announced in an answer that they leave.
-  prometheus::Counter& mLeavingAnnouncements;
-  /// Answers in which an upstream asked to get nothing for a while.
-  prometheus::Counter& mQuietRequests;
   /// Parts missing in merged answers.
   prometheus::Counter& mMissingParts;
   /// Log lines dropped by the rate limit of TraceLog.
@@ -75,6 +71,10 @@
 
   /// @brief Counts a finished request by its outcome.
   void CountRequest(std::string_view aOutcome);
+  /// @brief Counts an upstream that announced in an answer that it leaves.
+  void CountLeavingAnnouncement(const ServiceName& aService);
+  /// @brief Counts an answer in which an upstream asked to get nothing for a while.
+  void CountQuietRequest(const ServiceName& aService);
   /// @brief Counts a finished exchange by the step that ended it.
   void CountExchange(TraceStep aStep);
 };
--- a/src/wasabispar/gateway/gateway.cpp
+++ b/src/wasabispar/gateway/gateway.cpp
@@ -85,12 +85,6 @@
   , mCrashReports(
       aMetrics.Counter("wasabispar_gateway_crash_reports_total",
                        "Reports to other VMs on requests that crash upstreams."))
-  , mLeavingAnnouncements(
-      aMetrics.Counter("wasabispar_gateway_leaving_announcements_total",
-                       "Upstreams that announced in an answer that they leave."))
-  , mQuietRequests(
-      aMetrics.Counter("wasabispar_gateway_quiet_requests_total",
-                       "Answers in which an upstream asked to get nothing for a while."))
   , mMissingParts(aMetrics.Counter("wasabispar_gateway_missing_parts_total",
                                    "Parts left out of merged answers."))
   , mTraceLinesDropped(aMetrics.Counter("wasabispar_gateway_trace_lines_dropped_total",
@@ -107,6 +101,26 @@
     .Increment();
 }
 
+void
+GatewayMetrics::CountLeavingAnnouncement(const ServiceName& aService)
+{
+  mMetrics
+    .Counter("wasabispar_gateway_leaving_announcements_total",
+             "Upstreams that announced in an answer that they leave.",
+             { { "service", aService.Text() } })
+    .Increment();
+}
+
+void
+GatewayMetrics::CountQuietRequest(const ServiceName& aService)
+{
+  mMetrics
+    .Counter("wasabispar_gateway_quiet_requests_total",
+             "Answers in which an upstream asked to get nothing for a while.",
+             { { "service", aService.Text() } })
+    .Increment();
+}
+
 void
 GatewayMetrics::CountExchange(TraceStep aStep)
 {
@@ -178,7 +192,7 @@
            { { "upstream", record.mId.Text() },
              { "service", record.mService.Text() },
              { "request", aRequest.Text() } });
-  mMetrics.mLeavingAnnouncements.Increment();
+  mMetrics.CountLeavingAnnouncement(record.mService);
   // The hook may change the record.
   mOptions.mOnLeavingAnnounced(UpstreamRecord(record));
 }
@@ -200,7 +214,7 @@
   const auto now = BootClock::now();
   const bool wasQuiet = aReplica.mQuietPeriod.IsQuiet(now);
   aPool.OnQuietRequested(aReplica, *aReply.mQuietTime, now);
-  mMetrics.mQuietRequests.Increment();
+  mMetrics.CountQuietRequest(record.mService);
   if (!wasQuiet && aReplica.mQuietPeriod.IsQuiet(now)) {
     LogEvent(LogLevel::Info, "upstream-quiet",
              { { "upstream", record.mId.Text() },
