--- a/tests/gateway/crashing_request_test.cpp
+++ b/tests/gateway/crashing_request_test.cpp
@@ -13,6 +13,10 @@
 
 constexpr std::size_t kUpstreams = 8;
 constexpr auto kCrashPath = "/read/crash";
+constexpr std::size_t kShards = 6;
+constexpr std::size_t kReplicas = 4;
+/// Most sends of a request after the gateway knows of three crashes with it.
+constexpr std::uint64_t kMaxLateSends = 3;
 /// Time in which the gateway finds out that a connection was lost by a crash.
 constexpr Duration kDetectionTime = 100ms;
 
@@ -44,6 +48,47 @@
   }
 };
 
+/// Six shards of four upstreams, which crash when they begin to run `/read/crash`. An
+/// answer needs four parts.
+struct CrashingShards : GatewayFixture
+{
+  std::vector<FakeUpstream*> mUpstreams;
+
+  CrashingShards()
+  {
+    FanOutTarget target;
+    for (std::size_t shard = 0; shard < kShards; ++shard) {
+      const auto service = "s" + std::to_string(shard);
+      target.mShards.emplace_back(service);
+      for (std::size_t replica = 0; replica < kReplicas; ++replica) {
+        mUpstreams.push_back(&Add(service, service + "-" + std::to_string(replica)));
+      }
+    }
+    target.mTopRecords = 1;
+    target.mMinCoverage = Permille(600);
+    SetRoutes({ MakeRoute("read", target) });
+  }
+
+  /// Makes the upstreams of the first @p aCount shards crash.
+  void CrashShards(std::size_t aCount)
+  {
+    OnWorker([this, aCount] {
+      for (std::size_t i = 0; i < aCount * kReplicas; ++i) {
+        mUpstreams[i]->mCrashPath = kCrashPath;
+      }
+    });
+  }
+
+  std::uint64_t Requests() const
+  {
+    std::uint64_t requests = 0;
+    for (const auto* upstream : mUpstreams) {
+      requests += upstream->Requests();
+    }
+    return requests;
+  }
+};
+
 } // namespace
 
 /// Guards against a request that ends one upstream after the other, because its caller
@@ -62,3 +107,37 @@
   CHECK(answer.mTook < 50ms);
   CHECK(SendAndWait("/read/1").mResponse.mStatus == 200);
 }
+
+/// Guards against a fan-out that may crash three upstreams of each of its shards.
+TEST_CASE_FIXTURE(CrashingShards, "a fan-out that crashes all shards is blocked as one")
+{
+  CrashShards(kShards);
+  SendAndWait(kCrashPath);
+  std::this_thread::sleep_for(kDetectionTime);
+  const auto sent = Requests();
+  GatewayAnswer answer;
+  for (int i = 0; i < 5; ++i) {
+    answer = SendAndWait(kCrashPath);
+    std::this_thread::sleep_for(kDetectionTime);
+  }
+  CHECK(Requests() - sent <= kMaxLateSends);
+  CHECK(answer.mResponse.mBody == "quarantined");
+  CHECK(answer.mTook < 50ms);
+}
+
+/// Guards against a query that is refused although enough shards can run it.
+TEST_CASE_FIXTURE(CrashingShards, "a fan-out that crashes one shard gets the other parts")
+{
+  CrashShards(1);
+  for (int i = 0; i < 5; ++i) {
+    const auto answer = SendAndWait(kCrashPath);
+    CHECK(answer.mResponse.mStatus == 200);
+    CHECK(answer.mResponse.Header("Test-Missing") == "1");
+    std::this_thread::sleep_for(kDetectionTime);
+  }
+  std::uint64_t crashed = 0;
+  for (std::size_t i = 0; i < kReplicas; ++i) {
+    crashed += mUpstreams[i]->Requests();
+  }
+  CHECK(crashed == 3);
+}
