Log each crash with its upstream, service and request

The logs of the incident told neither which upstream had crashed under a request nor that ten fingerprints belonged to one request, so the hypotheses (parts counted apart; VMs that do not add up) had to be told apart by hand. The event upstream-crashed and a counter name each crash that a VM observes.

--- a/include/wasabispar/gateway/gateway.hpp
+++ b/include/wasabispar/gateway/gateway.hpp
@@ -62,6 +62,8 @@
   /// Time from a request to its final answer, by kind of route.
   prometheus::Histogram& mSingleLatency;
   prometheus::Histogram& mFanOutLatency;
+  /// Requests that ran on an upstream when it crashed; one crash may count for several.
+  prometheus::Counter& mUpstreamCrashes;
   /// Reports to the other VMs on requests that crash upstreams.
   prometheus::Counter& mCrashReports;
   /// Parts missing in merged answers.
--- a/include/wasabispar/routing/crash_limiter.hpp
+++ b/include/wasabispar/routing/crash_limiter.hpp
@@ -8,6 +8,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <vector>
@@ -55,6 +56,18 @@
   std::size_t mMaxRequests = 1000;
 };
 
+/// @brief An upstream that crashed while it ran a request.
+struct UpstreamCrash
+{
+  RequestFingerprint mFingerprint;
+  UpstreamIncarnation mUpstream;
+  /// From the send of the request to the loss of its connection.
+  Duration mRanFor{};
+};
+
+/// @brief Called with each crash that the VM observes.
+using UpstreamCrashFn = std::function<void(const UpstreamCrash&)>;
+
 /// @brief Tracks on one VM which requests crashed upstreams. Not thread-safe.
 ///
 /// An upstream has crashed when it closed the connection of an exchange without an answer
@@ -72,7 +85,8 @@
   /// Identifies an exchange; unique in the process.
   using ExchangeId = std::uint64_t;
 
-  explicit CrashLimiter(CrashLimiterOptions aOptions = {});
+  /// @param aOnCrash may be empty.
+  explicit CrashLimiter(CrashLimiterOptions aOptions = {}, UpstreamCrashFn aOnCrash = {});
 
   /// @brief Whether one more copy of the request may be sent now.
   bool MaySend(RequestFingerprint aRequest, TimePoint aNow) const;
@@ -106,6 +120,7 @@
   {
     RequestFingerprint mRequest;
     UpstreamIncarnation mUpstream;
+    TimePoint mSentAt;
     /// Successive crashes that were known when the copy was sent.
     std::uint32_t mKnownCrashes = 0;
     /// The last exchange of the request that had been lost then without it being clear
@@ -140,6 +155,7 @@
   void Expire(TimePoint aNow);
 
   CrashLimiterOptions mOptions;
+  UpstreamCrashFn mOnCrash;
   /// Exchanges that run, or were lost without it being clear whether the upstream
   /// crashed.
   ExchangeMap mExchanges;
--- a/src/wasabispar/gateway/gateway.cpp
+++ b/src/wasabispar/gateway/gateway.cpp
@@ -82,6 +82,9 @@
                                     { { "kind", "single" } }))
   , mFanOutLatency(aMetrics.Latency("wasabispar_gateway_request_seconds", kLatencyHelp,
                                     { { "kind", "fan-out" } }))
+  , mUpstreamCrashes(
+      aMetrics.Counter("wasabispar_gateway_upstream_crashes_total",
+                       "Requests that ran on an upstream when it crashed."))
   , mCrashReports(
       aMetrics.Counter("wasabispar_gateway_crash_reports_total",
                        "Reports to other VMs on requests that crash upstreams."))
@@ -130,6 +133,22 @@
     .Increment();
 }
 
+namespace {
+
+/// Logs a crash with the service that the upstream belonged to.
+void
+LogCrash(const UpstreamCrash& aCrash, const ServiceName& aService)
+{
+  LogEvent(
+    LogLevel::Warning, "upstream-crashed",
+    { { "upstream", aCrash.mUpstream.mId.Text() },
+      { "service", aService.Text() },
+      { "fingerprint", aCrash.mFingerprint.Value() },
+      { "ran_for_ms", static_cast<std::uint64_t>(ToMilliseconds(aCrash.mRanFor)) } });
+}
+
+} // namespace
+
 Gateway::Gateway(Worker& aWorker, GatewayOptions aOptions, CallerProtocol aCallers,
                  UpstreamProtocol aUpstreams, Metrics& aMetrics)
   : mWorker(aWorker)
@@ -137,7 +156,12 @@
   , mCallerProtocol(std::move(aCallers))
   , mUpstreamProtocol(std::move(aUpstreams))
   , mMetrics(aMetrics)
-  , mCrashLimiter(mOptions.mCrashLimit)
+  , mCrashLimiter(mOptions.mCrashLimit, [this](const UpstreamCrash& aCrash) {
+    const auto service = mServiceByUpstream.find(aCrash.mUpstream.mId);
+    LogCrash(aCrash,
+             service == mServiceByUpstream.end() ? ServiceName() : service->second);
+    mMetrics.mUpstreamCrashes.Increment();
+  })
 {
   mOptions.mPools.mResponseBudget =
     std::make_shared<ByteBudget>(mOptions.mMaxResponseBytes);
--- a/src/wasabispar/routing/crash_limiter.cpp
+++ b/src/wasabispar/routing/crash_limiter.cpp
@@ -3,11 +3,13 @@
 #include "wasabispar/routing/crash_limiter.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace wasabispar {
 
-CrashLimiter::CrashLimiter(CrashLimiterOptions aOptions)
+CrashLimiter::CrashLimiter(CrashLimiterOptions aOptions, UpstreamCrashFn aOnCrash)
   : mOptions(aOptions)
+  , mOnCrash(std::move(aOnCrash))
 {
 }
 
@@ -39,9 +41,12 @@
                      const UpstreamIncarnation& aUpstream, TimePoint aNow)
 {
   const auto* suspect = FindSuspect(aRequest, aNow);
-  const Exchange exchange{
-    aRequest, aUpstream, suspect ? CrashCount(*suspect) : 0, LastUnclearLoss(aRequest), {}
-  };
+  const Exchange exchange{ aRequest,
+                           aUpstream,
+                           aNow,
+                           suspect ? CrashCount(*suspect) : 0,
+                           LastUnclearLoss(aRequest),
+                           {} };
   if (mExchanges.emplace(aExchange, exchange).second) {
     ++mExchangeCounts[aRequest];
   }
@@ -244,6 +249,10 @@
   suspect.mCrashedExchanges[aExchange->first] = known + 1;
   suspect.mObserved = std::max(suspect.mObserved, known + 1);
   suspect.mLastCrashAt = aNow;
+  if (mOnCrash) {
+    mOnCrash({ exchange.mRequest, exchange.mUpstream,
+               exchange.mLostAt.value_or(aNow) - exchange.mSentAt });
+  }
 }
 
 void
