Crash limit: count the crashes of a request over all its parts and all VMs

Cause: the limit was kept for each service apart, so a query over ten shards could crash thirty upstreams and a request on a split route three of each service; and a VM took the highest count that another one had reported, so crashes at VMs that did not know of each other counted as one. Ruled out: lost reports.

Change: crashes are intervals from the send of a copy to the loss of its connection. Reports carry them with their age; the limit counts how many followed each other, over all parts and VMs. Crashes of one service still block only its part, and a completion still clears. Below the limit, parts of a suspect are held until another one completes, instead of being given up.

--- a/include/wasabispar/gateway/gateway.hpp
+++ b/include/wasabispar/gateway/gateway.hpp
@@ -41,7 +41,7 @@
   /// once.
   std::function<void(const UpstreamRecord&)> mOnLeavingAnnounced;
   /// Tells the other VMs which upstreams crashed with a request. May be empty.
-  std::function<void(const RequestCrashes&)> mPublishCrashes;
+  std::function<void(const RequestCrashReport&)> mPublishCrashes;
 };
 
 /// @brief Counters and histograms of the gateway.
@@ -100,7 +100,7 @@
   /// @brief Updates the pools of the services.
   void OnUpstreamChanges(const UpstreamDirectory::Changes& aChanges);
   /// @brief Takes account of the upstreams that crashed at another VM with a request.
-  void OnCrashReport(const VmId& aVm, const RequestCrashes& aReport);
+  void OnCrashReport(const VmId& aVm, const RequestCrashReport& aReport);
   /// @brief Replaces the budget for extra sends of all services.
   void SetExtraLoad(const ExtraLoadOptions& aOptions);
   /// @brief Reads the connection quotas of all upstreams again.
--- a/include/wasabispar/gateway/request_trace.hpp
+++ b/include/wasabispar/gateway/request_trace.hpp
@@ -41,6 +41,9 @@
   /// Not sent, because too many upstreams crashed while they ran the request. Figure: the
   /// fingerprint, as in the log lines on crashes.
   Blocked,
+  /// Not sent before another part completes, because upstreams crashed while they ran the
+  /// request. Figure as for Blocked.
+  Held,
   /// The part is abandoned because no upstream is left. Figure: number of upstreams
   /// tried, or before the first send the expected wait in the queue in microseconds.
   PartGivenUp,
--- a/include/wasabispar/routing/crash_limiter.hpp
+++ b/include/wasabispar/routing/crash_limiter.hpp
@@ -5,6 +5,7 @@
 
 #include "wasabispar/base/clock.hpp"
 #include "wasabispar/base/ids.hpp"
+#include "wasabispar/routing/crash_series.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -25,22 +26,42 @@
   auto operator<=>(const UpstreamIncarnation&) const = default;
 };
 
-/// @brief The crashes of upstreams with a request as one VM knows them.
-struct RequestCrashes
+/// @brief What is sent to the upstreams of one service for a request.
+struct RequestPart
+{
+  RequestFingerprint mRequest;
+  ServiceFingerprint mService;
+
+  bool operator==(const RequestPart&) const = default;
+};
+
+/// @brief A part of a request that an upstream ran to its end.
+struct RequestCompletion
+{
+  ServiceFingerprint mService;
+  TimePoint mAt;
+
+  bool operator==(const RequestCompletion&) const = default;
+};
+
+/// @brief What one VM observed of a request that may crash upstreams. Replaces what the
+/// VM reported before.
+struct RequestCrashReport
 {
   RequestFingerprint mFingerprint;
-  /// Number of upstreams that crashed one after the other, each with a copy of the
-  /// request that was sent when the crash before was seen. 0 once the request has
-  /// completed at the VM, which clears its earlier crashes.
-  std::uint32_t mSuccessiveCrashes = 0;
+  /// The crashes since the last completion; empty once the request is no suspect any
+  /// more.
+  RequestCrashes mCrashes;
+  /// The last completion after a crash; empty if there was none.
+  std::optional<RequestCompletion> mCompletion;
 
-  bool operator==(const RequestCrashes&) const = default;
+  bool operator==(const RequestCrashReport&) const = default;
 };
 
 /// @brief Settings of CrashLimiter.
 struct CrashLimiterOptions
 {
-  /// Number of successive crashes after which a request is blocked.
+  /// Number of successive crashes after which a request, or a part of it, is blocked.
   std::uint32_t mMaxCrashes = 3;
   /// How long the crashes of a request are remembered after the last one.
   Duration mMemory = std::chrono::minutes(10);
@@ -49,8 +70,9 @@
   /// A connection opened sooner after a loss shows nothing: a process that ends may close
   /// its listener after its connections.
   Duration mListenerCloseTime = std::chrono::milliseconds(50);
-  /// Time from the first crash to its report. A request that was running on an upstream
-  /// which crashed for another reason completes elsewhere in this time.
+  /// Time from a crash to its report, unless it followed another one. A request that was
+  /// running on an upstream which crashed for another reason completes elsewhere in this
+  /// time.
   Duration mReportDelay = std::chrono::seconds(1);
   /// Number of requests whose crashes are remembered.
   std::size_t mMaxRequests = 1000;
@@ -71,14 +93,13 @@
 /// @brief Tracks on one VM which requests crashed upstreams. Not thread-safe.
 ///
 /// An upstream has crashed when it closed the connection of an exchange without an answer
-/// and a new connection to it fails. Each request that ran on it is a suspect. A request
-/// is blocked when, without a completion in between, mMaxCrashes upstreams crashed with
-/// it in succession: each copy but the first was sent when the loss of the one before was
-/// seen, or when another VM had reported it. Upstreams that fail together, while copies
-/// of a frequent request run on each of them, are one crash in this sense. A suspect that
-/// is not blocked is sent only as often at a time as upstreams may still crash, so that
-/// hedges and concurrent copies do not exceed the limit. Requests are identified by a
-/// fingerprint, because each attempt of a caller has a request id of its own.
+/// and a new connection to it fails. Each request that ran on it is a suspect. Crashes at
+/// all VMs count. mMaxCrashes successive ones, see CountSuccessiveCrashes(), with
+/// upstreams of one service block the part of the request for this service until it
+/// completes; as many with upstreams of several services, without a completion of any
+/// part in between, block all parts. A suspect that is not blocked is sent only as often
+/// at a time as upstreams may still crash. Requests are identified by a fingerprint,
+/// because each attempt of a caller has a request id of its own.
 class CrashLimiter
 {
 public:
@@ -88,17 +109,20 @@
   /// @param aOnCrash may be empty.
   explicit CrashLimiter(CrashLimiterOptions aOptions = {}, UpstreamCrashFn aOnCrash = {});
 
-  /// @brief Whether one more copy of the request may be sent now.
-  bool MaySend(RequestFingerprint aRequest, TimePoint aNow) const;
-  /// @brief When a blocked request may be sent again; empty if it is not blocked.
-  std::optional<TimePoint> BlockedUntil(RequestFingerprint aRequest,
-                                        TimePoint aNow) const;
+  /// @brief Whether one more copy of the part may be sent now.
+  bool MaySend(const RequestPart& aPart, TimePoint aNow) const;
+  /// @brief When a blocked part may be sent again; empty if it is not blocked.
+  std::optional<TimePoint> BlockedUntil(const RequestPart& aPart, TimePoint aNow) const;
+  /// @brief Number of successive crashes with the request: of all its parts, or of the
+  /// part that has most.
+  std::uint32_t SuccessiveCrashes(RequestFingerprint aRequest, TimePoint aNow) const;
 
-  /// @brief A copy of the request is sent to the upstream.
-  void OnSent(ExchangeId aExchange, RequestFingerprint aRequest,
+  /// @brief A copy of the part is sent to the upstream.
+  void OnSent(ExchangeId aExchange, const RequestPart& aPart,
               const UpstreamIncarnation& aUpstream, TimePoint aNow);
-  /// @brief The upstream ran the request to its end: the request is no suspect any more.
-  void OnCompleted(ExchangeId aExchange);
+  /// @brief The upstream ran the part to its end: the part is no suspect any more, nor
+  /// are all parts together.
+  void OnCompleted(ExchangeId aExchange, TimePoint aNow);
   /// @brief The upstream closed the connection before the end of its answer. A new
   /// connection must be tried mListenerCloseTime later.
   void OnLost(ExchangeId aExchange, TimePoint aNow);
@@ -110,43 +134,60 @@
   void OnConnectFailed(const UpstreamIncarnation& aUpstream, TimePoint aNow);
 
   /// @brief Replaces what @p aVm reported about the request before.
-  void OnReport(const VmId& aVm, const RequestCrashes& aReport, TimePoint aNow);
+  void OnReport(const VmId& aVm, const RequestCrashReport& aReport, TimePoint aNow);
   /// @brief Forgets what has expired and returns what the other VMs must learn. Call it
   /// several times a second.
-  std::vector<RequestCrashes> Tick(TimePoint aNow);
+  std::vector<RequestCrashReport> Tick(TimePoint aNow);
 
 private:
   struct Exchange
   {
-    RequestFingerprint mRequest;
+    RequestPart mPart;
     UpstreamIncarnation mUpstream;
     TimePoint mSentAt;
-    /// Successive crashes that were known when the copy was sent.
-    std::uint32_t mKnownCrashes = 0;
-    /// The last exchange of the request that had been lost then without it being clear
-    /// whether the upstream had crashed; 0 if there was none.
-    ExchangeId mPredecessor = 0;
     /// When the upstream closed the connection; empty while the exchange runs.
     std::optional<TimePoint> mLostAt;
   };
+  /// A request with exchanges in mExchanges.
+  struct RunningRequest
+  {
+    std::size_t mExchanges = 0;
+    /// Last completion of a part since the first of the exchanges was sent.
+    std::optional<TimePoint> mCompletedAt;
+  };
   /// A request with which upstreams crashed.
   struct Suspect
   {
-    /// Successive crashes, the last of which this VM observed, and those that other VMs
-    /// reported.
-    std::uint32_t mObserved = 0;
-    std::map<VmId, std::uint32_t> mReported;
-    /// Successive crashes up to each exchange that ended in a crash.
-    std::map<ExchangeId, std::uint32_t> mCrashedExchanges;
-    TimePoint mFirstObservedAt{};
+    /// Crashes that this VM observed, and those that other VMs reported.
+    RequestCrashes mObserved;
+    std::map<VmId, RequestCrashes> mReported;
+    /// Last completion of a part at any VM. Crashes with copies that were sent before do
+    /// not count for all parts together.
+    std::optional<TimePoint> mCompletedAt;
+    /// Last completion of a part at this VM after a crash.
+    std::optional<RequestCompletion> mOwnCompletion;
     TimePoint mLastCrashAt{};
-    /// What the other VMs have learned from this one.
-    std::uint32_t mPublished = 0;
+    /// Time of the first change that the other VMs were not told; empty if there is none.
+    std::optional<TimePoint> mChangedAt;
+    bool mWasPublished = false;
   };
   using ExchangeMap = std::map<ExchangeId, Exchange>;
 
-  static std::uint32_t CrashCount(const Suspect& aSuspect);
-  ExchangeId LastUnclearLoss(RequestFingerprint aRequest) const;
+  static RequestCrashes AllCrashes(const Suspect& aSuspect);
+  /// Successive crashes with upstreams of the service.
+  static std::uint32_t PartCrashes(const Suspect& aSuspect, ServiceFingerprint aService);
+  /// Successive crashes of all parts together; 0 if only one service had crashes.
+  static std::uint32_t JointCrashes(const Suspect& aSuspect);
+  static std::uint32_t MostCrashes(const Suspect& aSuspect);
+  static void EraseCrashes(RequestCrashes& aCrashes, const RequestCompletion& aBefore);
+  /// A part of a suspect completed at this VM.
+  static void OnSuspectCompleted(Suspect& aSuspect, const RequestCompletion& aCompletion);
+  /// A part of a suspect completed at another VM.
+  static void OnReportedCompletion(Suspect& aSuspect,
+                                   const RequestCompletion& aCompletion, TimePoint aNow);
+  /// Copies of the part that run, or were lost without it being clear whether the
+  /// upstream crashed.
+  std::size_t RunningCopies(const RequestPart& aPart) const;
   const Suspect* FindSuspect(RequestFingerprint aRequest, TimePoint aNow) const;
   Suspect& MakeSuspect(RequestFingerprint aRequest, TimePoint aNow);
   void AddCrash(ExchangeMap::const_iterator aExchange, TimePoint aNow);
@@ -159,8 +200,7 @@
   /// Exchanges that run, or were lost without it being clear whether the upstream
   /// crashed.
   ExchangeMap mExchanges;
-  /// Number of elements of mExchanges by request.
-  std::map<RequestFingerprint, std::size_t> mExchangeCounts;
+  std::map<RequestFingerprint, RunningRequest> mRunning;
   std::map<RequestFingerprint, Suspect> mSuspects;
   /// Time of the last failed attempt to connect, by upstream.
   std::map<UpstreamIncarnation, TimePoint> mFailedConnects;
--- a/src/wasabispar/gateway/active_request.cpp
+++ b/src/wasabispar/gateway/active_request.cpp
@@ -32,16 +32,16 @@
   return std::min(aRoute.mTimeout, *aRequest.mCallerTimeout - kDeadlineMargin);
 }
 
-/// The fingerprint of a request to one service. Leaves out what differs between the
-/// attempts of a caller: the headers, which hold the id and the time left.
+/// The fingerprint of a request. Leaves out what differs between the attempts of a
+/// caller: the headers, which hold the id and the time left.
 RequestFingerprint
-FingerprintOf(const CallerRequest& aRequest, const ServiceName& aService)
+FingerprintOf(const CallerRequest& aRequest)
 {
   const auto& http = aRequest.mHttpRequest;
   auto hash = HashText(http.mMethod);
   for (const std::string_view part :
        { std::string_view(aRequest.mHost), std::string_view(http.mTarget),
-         std::string_view(http.mBody), std::string_view(aService.Text()) }) {
+         std::string_view(http.mBody) }) {
     hash = HashText(part, hash);
   }
   return RequestFingerprint(hash);
@@ -76,9 +76,11 @@
   , mFanOutState(MakeFanOutState(mRequest, aRoute, aServices.size(),
                                  aGateway.mOptions.mMaxCallerMargin, aNow))
 {
+  const auto fingerprint = FingerprintOf(mRequest);
   for (std::size_t i = 0; i < aServices.size(); ++i) {
     mParts[i].mServicePool = &mGateway.PoolOf(aServices[i]);
-    mParts[i].mFingerprint = FingerprintOf(mRequest, aServices[i]);
+    mParts[i].mIdentity = { fingerprint,
+                            ServiceFingerprint(HashText(aServices[i].Text())) };
   }
 }
 
@@ -124,13 +126,45 @@
 bool
 ActiveRequest::IsCrashLimitKept(std::size_t aPart, TimePoint aNow)
 {
-  if (mGateway.mCrashLimiter.MaySend(mParts[aPart].mFingerprint, aNow)) {
+  const auto& identity = mParts[aPart].mIdentity;
+  auto& limiter = mGateway.mCrashLimiter;
+  if (limiter.MaySend(identity, aNow)) {
     return true;
   }
-  mTrace.Add(TraceStep::Blocked, aPart, {}, mParts[aPart].mFingerprint.Value(), aNow);
+  mTrace.Add(limiter.BlockedUntil(identity, aNow) ? TraceStep::Blocked : TraceStep::Held,
+             aPart, {}, identity.mRequest.Value(), aNow);
   return false;
 }
 
+void
+ActiveRequest::HoldOrAbandon(std::size_t aPart, TraceStep aStep, TimePoint aNow)
+{
+  auto& part = mParts[aPart];
+  if (!HasOpenExchanges() || mGateway.mCrashLimiter.BlockedUntil(part.mIdentity, aNow)) {
+    AbandonPart(aPart, aNow);
+    return;
+  }
+  part.mHeldStep = aStep;
+}
+
+void
+ActiveRequest::LaunchHeldParts()
+{
+  for (std::size_t i = 0; i < mParts.size(); ++i) {
+    const auto step = std::exchange(mParts[i].mHeldStep, std::nullopt);
+    if (step && !mIsFinished && mFanOutState.IsOpen(i)) {
+      Launch(i, *step);
+    }
+  }
+}
+
+bool
+ActiveRequest::HasOpenExchanges() const
+{
+  return std::ranges::any_of(
+    mParts, [](const Part& aPart) { return !aPart.mOpenExchanges.empty(); });
+}
+
 bool
 ActiveRequest::MayStillSend(std::size_t aPart, ExchangeId aExchange,
                             const Replica& aReplica, TimePoint aNow)
@@ -139,7 +173,7 @@
   if (!takesRequests || !IsCrashLimitKept(aPart, aNow)) {
     return false;
   }
-  mGateway.mCrashLimiter.OnSent(aExchange, mParts[aPart].mFingerprint,
+  mGateway.mCrashLimiter.OnSent(aExchange, mParts[aPart].mIdentity,
                                 aReplica.Incarnation(), aNow);
   return true;
 }
@@ -150,7 +184,7 @@
 {
   auto& limiter = mGateway.mCrashLimiter;
   if (aStep == TraceStep::Answered || aStep == TraceStep::Failed) {
-    limiter.OnCompleted(aExchange.mId);
+    limiter.OnCompleted(aExchange.mId, BootClock::now());
   } else if (aEnd == HttpExchangeEnd::ConnectionLost && !mAreExchangesClosed) {
     limiter.OnLost(aExchange.mId, BootClock::now());
     ProbeLater(*aExchange.mReplica);
@@ -176,7 +210,7 @@
   const auto now = BootClock::now();
   auto& part = mParts[aPart];
   if (!IsCrashLimitKept(aPart, now)) {
-    AbandonPart(aPart, now);
+    HoldOrAbandon(aPart, aStep, now);
     return;
   }
   const auto placement = part.mServicePool->Choose(part.mTried, now);
@@ -231,9 +265,13 @@
     return true;
   }
   const auto now = BootClock::now();
-  const bool isBlocked = !IsCrashLimitKept(aPart, now);
-  const auto placement =
-    isBlocked ? PlacementResult{} : part.mServicePool->Choose(part.mTried, now);
+  if (!IsCrashLimitKept(aPart, now)) {
+    part.mQueueEntry.reset();
+    HoldOrAbandon(aPart, aStep, now);
+    ApplyDecision();
+    return true;
+  }
+  const auto placement = part.mServicePool->Choose(part.mTried, now);
   if (placement.mKind == PlacementResult::Kind::Busy) {
     return false;
   }
@@ -380,6 +418,9 @@
     } else {
       RetryOrAbandon(aPart, end, now);
     }
+  }
+  if (!mIsFinished) {
+    LaunchHeldParts();
     ApplyDecision();
   }
   part.mServicePool->Queue().Dispatch();
@@ -456,7 +497,7 @@
 ActiveRequest::RetryOrAbandon(std::size_t aPart, TraceStep aEnd, TimePoint aNow)
 {
   auto& part = mParts[aPart];
-  if (!part.mOpenExchanges.empty() || part.mQueueEntry) {
+  if (!part.mOpenExchanges.empty() || part.mQueueEntry || part.mHeldStep) {
     return;
   }
   part.mHedgeAt.reset();
--- a/src/wasabispar/gateway/active_request.hpp
+++ b/src/wasabispar/gateway/active_request.hpp
@@ -55,8 +55,8 @@
   struct Part
   {
     ServicePool* mServicePool = nullptr;
-    /// Identifies what is sent, the same for each attempt of a caller.
-    RequestFingerprint mFingerprint;
+    /// The same for each attempt of a caller.
+    RequestPart mIdentity;
     /// Upstreams to which the part was sent.
     std::vector<UpstreamId> mTried;
     std::vector<Exchange> mOpenExchanges;
@@ -64,6 +64,9 @@
     std::uint32_t mPossibleRunCount = 0;
     /// Set while the part waits in the queue of its service.
     std::optional<WaitQueue::EntryId> mQueueEntry;
+    /// Set while the part waits for the end of another exchange of the request, because
+    /// upstreams crashed with the request; how it is sent then.
+    std::optional<TraceStep> mHeldStep;
     /// When to send a hedge to another upstream; empty when no hedge is planned.
     std::optional<TimePoint> mHedgeAt;
     /// The first answer.
@@ -83,6 +86,12 @@
   /// Whether the part may be sent although upstreams may have crashed with it; otherwise
   /// adds a step to the trace.
   bool IsCrashLimitKept(std::size_t aPart, TimePoint aNow);
+  /// Holds a part that the crash limit allows only when other copies have completed.
+  /// Abandons it if it is blocked, or if no exchange of this request is open.
+  void HoldOrAbandon(std::size_t aPart, TraceStep aStep, TimePoint aNow);
+  /// Tries to send the parts that are held.
+  void LaunchHeldParts();
+  bool HasOpenExchanges() const;
   /// Decides right before the first byte is written; records the exchange if it starts.
   bool MayStillSend(std::size_t aPart, ExchangeId aExchange, const Replica& aReplica,
                     TimePoint aNow);
--- a/src/wasabispar/gateway/active_request_end.cpp
+++ b/src/wasabispar/gateway/active_request_end.cpp
@@ -58,7 +58,7 @@
 {
   std::optional<TimePoint> until;
   for (const auto& part : mParts) {
-    until = std::max(until, mGateway.mCrashLimiter.BlockedUntil(part.mFingerprint, aNow));
+    until = std::max(until, mGateway.mCrashLimiter.BlockedUntil(part.mIdentity, aNow));
   }
   return until;
 }
@@ -159,9 +159,7 @@
 void
 ActiveRequest::ScheduleClose()
 {
-  const bool hasOpen = std::ranges::any_of(
-    mParts, [](const Part& aPart) { return !aPart.mOpenExchanges.empty(); });
-  if (!hasOpen) {
+  if (!HasOpenExchanges()) {
     return;
   }
   mTimer =
--- a/src/wasabispar/gateway/gateway.cpp
+++ b/src/wasabispar/gateway/gateway.cpp
@@ -192,12 +192,12 @@
 Gateway::PublishCrashes(TimePoint aNow)
 {
   for (const auto& report : mCrashLimiter.Tick(aNow)) {
+    const auto crashes = mCrashLimiter.SuccessiveCrashes(report.mFingerprint, aNow);
     LogEvent(
       LogLevel::Warning, "request-crashes",
       { { "fingerprint", report.mFingerprint.Value() },
-        { "crashes", std::uint64_t{ report.mSuccessiveCrashes } },
-        { "blocked",
-          mCrashLimiter.BlockedUntil(report.mFingerprint, aNow) ? "yes" : "no" } });
+        { "crashes", std::uint64_t{ crashes } },
+        { "blocked", crashes >= mOptions.mCrashLimit.mMaxCrashes ? "yes" : "no" } });
     mMetrics.mCrashReports.Increment();
     if (mOptions.mPublishCrashes) {
       mOptions.mPublishCrashes(report);
@@ -250,13 +250,16 @@
 }
 
 void
-Gateway::OnCrashReport(const VmId& aVm, const RequestCrashes& aReport)
+Gateway::OnCrashReport(const VmId& aVm, const RequestCrashReport& aReport)
 {
+  const auto now = BootClock::now();
+  mCrashLimiter.OnReport(aVm, aReport, now);
+  const auto crashes = mCrashLimiter.SuccessiveCrashes(aReport.mFingerprint, now);
   LogEvent(LogLevel::Info, "request-crashes-reported",
            { { "vm", aVm.Text() },
              { "fingerprint", aReport.mFingerprint.Value() },
-             { "crashes", std::uint64_t{ aReport.mSuccessiveCrashes } } });
-  mCrashLimiter.OnReport(aVm, aReport, BootClock::now());
+             { "reported", std::uint64_t{ aReport.mCrashes.size() } },
+             { "crashes", std::uint64_t{ crashes } } });
 }
 
 void
--- a/src/wasabispar/gateway/request_trace.cpp
+++ b/src/wasabispar/gateway/request_trace.cpp
@@ -45,6 +45,8 @@
       return "lost";
     case TraceStep::Unreachable:
       return "unreachable";
+    case TraceStep::Held:
+      return "held";
     case TraceStep::Blocked:
       return "blocked";
     case TraceStep::PartGivenUp:
--- a/src/wasabispar/routing/crash_limiter.cpp
+++ b/src/wasabispar/routing/crash_limiter.cpp
@@ -14,75 +14,91 @@
 }
 
 bool
-CrashLimiter::MaySend(RequestFingerprint aRequest, TimePoint aNow) const
+CrashLimiter::MaySend(const RequestPart& aPart, TimePoint aNow) const
 {
-  const auto* suspect = FindSuspect(aRequest, aNow);
+  const auto* suspect = FindSuspect(aPart.mRequest, aNow);
   if (!suspect) {
     return true;
   }
-  const auto count = mExchangeCounts.find(aRequest);
-  const auto running = count == mExchangeCounts.end() ? 0 : count->second;
-  const auto crashes = CrashCount(*suspect);
-  return crashes == 0 || crashes + running < mOptions.mMaxCrashes;
+  const auto limit = mOptions.mMaxCrashes;
+  const auto part = PartCrashes(*suspect, aPart.mService);
+  const auto joint = JointCrashes(*suspect);
+  if (part >= limit || joint >= limit) {
+    return false;
+  }
+  const auto running = mRunning.find(aPart.mRequest);
+  const auto copies = running == mRunning.end() ? 0 : running->second.mExchanges;
+  if (joint > 0 && joint + copies >= limit) {
+    return false;
+  }
+  return part == 0 || part + RunningCopies(aPart) < limit;
 }
 
 std::optional<TimePoint>
-CrashLimiter::BlockedUntil(RequestFingerprint aRequest, TimePoint aNow) const
+CrashLimiter::BlockedUntil(const RequestPart& aPart, TimePoint aNow) const
 {
-  const auto* suspect = FindSuspect(aRequest, aNow);
-  if (!suspect || CrashCount(*suspect) < mOptions.mMaxCrashes) {
+  const auto* suspect = FindSuspect(aPart.mRequest, aNow);
+  if (!suspect) {
+    return std::nullopt;
+  }
+  const auto crashes =
+    std::max(PartCrashes(*suspect, aPart.mService), JointCrashes(*suspect));
+  if (crashes < mOptions.mMaxCrashes) {
     return std::nullopt;
   }
   return suspect->mLastCrashAt + mOptions.mMemory;
 }
 
-void
-CrashLimiter::OnSent(ExchangeId aExchange, RequestFingerprint aRequest,
-                     const UpstreamIncarnation& aUpstream, TimePoint aNow)
+std::uint32_t
+CrashLimiter::SuccessiveCrashes(RequestFingerprint aRequest, TimePoint aNow) const
 {
   const auto* suspect = FindSuspect(aRequest, aNow);
-  const Exchange exchange{ aRequest,
-                           aUpstream,
-                           aNow,
-                           suspect ? CrashCount(*suspect) : 0,
-                           LastUnclearLoss(aRequest),
-                           {} };
-  if (mExchanges.emplace(aExchange, exchange).second) {
-    ++mExchangeCounts[aRequest];
-  }
+  return suspect ? MostCrashes(*suspect) : 0;
 }
 
-CrashLimiter::ExchangeId
-CrashLimiter::LastUnclearLoss(RequestFingerprint aRequest) const
+void
+CrashLimiter::OnSent(ExchangeId aExchange, const RequestPart& aPart,
+                     const UpstreamIncarnation& aUpstream, TimePoint aNow)
 {
-  if (!mExchangeCounts.contains(aRequest)) {
-    return 0;
-  }
-  ExchangeId last = 0;
-  for (const auto& [id, exchange] : mExchanges) {
-    if (exchange.mRequest == aRequest && exchange.mLostAt) {
-      last = id;
-    }
+  const Exchange exchange{ aPart, aUpstream, aNow, {} };
+  if (mExchanges.emplace(aExchange, exchange).second) {
+    ++mRunning[aPart.mRequest].mExchanges;
   }
-  return last;
 }
 
 void
-CrashLimiter::OnCompleted(ExchangeId aExchange)
+CrashLimiter::OnCompleted(ExchangeId aExchange, TimePoint aNow)
 {
   const auto found = mExchanges.find(aExchange);
   if (found == mExchanges.end()) {
     return;
   }
-  const auto suspect = mSuspects.find(found->second.mRequest);
+  const auto part = found->second.mPart;
+  mRunning[part.mRequest].mCompletedAt = aNow;
+  const auto suspect = mSuspects.find(part.mRequest);
   if (suspect != mSuspects.end()) {
-    suspect->second.mObserved = 0;
-    suspect->second.mReported.clear();
-    suspect->second.mCrashedExchanges.clear();
+    OnSuspectCompleted(suspect->second, { part.mService, aNow });
   }
   Erase(found);
 }
 
+void
+CrashLimiter::OnSuspectCompleted(Suspect& aSuspect, const RequestCompletion& aCompletion)
+{
+  const bool isKnownElsewhere = aSuspect.mWasPublished || !aSuspect.mReported.empty();
+  EraseCrashes(aSuspect.mObserved, aCompletion);
+  for (auto& [vm, crashes] : aSuspect.mReported) {
+    EraseCrashes(crashes, aCompletion);
+  }
+  aSuspect.mCompletedAt = aCompletion.mAt;
+  aSuspect.mOwnCompletion = aCompletion;
+  if (isKnownElsewhere) {
+    aSuspect.mChangedAt = aSuspect.mChangedAt.value_or(aCompletion.mAt);
+  } else if (aSuspect.mObserved.empty()) {
+    aSuspect.mChangedAt.reset();
+  }
+}
+
 void
 CrashLimiter::OnLost(ExchangeId aExchange, TimePoint aNow)
 {
@@ -138,28 +154,46 @@
 }
 
 void
-CrashLimiter::OnReport(const VmId& aVm, const RequestCrashes& aReport, TimePoint aNow)
+CrashLimiter::OnReport(const VmId& aVm, const RequestCrashReport& aReport, TimePoint aNow)
 {
-  if (aReport.mSuccessiveCrashes == 0) {
-    const auto suspect = mSuspects.find(aReport.mFingerprint);
-    if (suspect != mSuspects.end()) {
-      suspect->second.mReported.erase(aVm);
-    }
+  const auto known = mSuspects.find(aReport.mFingerprint);
+  if (known == mSuspects.end() && aReport.mCrashes.empty()) {
     return;
   }
   auto& suspect = MakeSuspect(aReport.mFingerprint, aNow);
-  suspect.mReported[aVm] = aReport.mSuccessiveCrashes;
-  suspect.mLastCrashAt = aNow;
+  suspect.mReported[aVm] = aReport.mCrashes;
+  if (!aReport.mCrashes.empty()) {
+    suspect.mLastCrashAt = aNow;
+  }
+  if (aReport.mCompletion) {
+    OnReportedCompletion(suspect, *aReport.mCompletion, aNow);
+  }
 }
 
-std::vector<RequestCrashes>
+void
+CrashLimiter::OnReportedCompletion(Suspect& aSuspect,
+                                   const RequestCompletion& aCompletion, TimePoint aNow)
+{
+  const auto observed = aSuspect.mObserved.size();
+  EraseCrashes(aSuspect.mObserved, aCompletion);
+  for (auto& [vm, crashes] : aSuspect.mReported) {
+    EraseCrashes(crashes, aCompletion);
+  }
+  aSuspect.mCompletedAt = std::max(aSuspect.mCompletedAt, std::optional(aCompletion.mAt));
+  if (aSuspect.mObserved.size() != observed && aSuspect.mWasPublished) {
+    aSuspect.mChangedAt = aSuspect.mChangedAt.value_or(aNow);
+  }
+}
+
+std::vector<RequestCrashReport>
 CrashLimiter::Tick(TimePoint aNow)
 {
-  std::vector<RequestCrashes> reports;
+  std::vector<RequestCrashReport> reports;
   for (auto& [request, suspect] : mSuspects) {
     if (IsReportDue(suspect, aNow)) {
-      suspect.mPublished = suspect.mObserved;
-      reports.push_back({ request, suspect.mObserved });
+      suspect.mChangedAt.reset();
+      suspect.mWasPublished = true;
+      reports.push_back({ request, suspect.mObserved, suspect.mOwnCompletion });
     }
   }
   Expire(aNow);
@@ -169,11 +203,11 @@
 bool
 CrashLimiter::IsReportDue(const Suspect& aSuspect, TimePoint aNow) const
 {
-  if (aSuspect.mObserved == aSuspect.mPublished) {
+  if (!aSuspect.mChangedAt) {
     return false;
   }
-  return aSuspect.mObserved == 0 || CrashCount(aSuspect) >= mOptions.mMaxCrashes ||
-         aNow - aSuspect.mFirstObservedAt >= mOptions.mReportDelay;
+  return aSuspect.mObserved.empty() || MostCrashes(aSuspect) > 1 ||
+         aNow - *aSuspect.mChangedAt >= mOptions.mReportDelay;
 }
 
 void
@@ -181,7 +215,7 @@
 {
   std::erase_if(mSuspects, [this, aNow](const auto& aItem) {
     const auto& suspect = aItem.second;
-    const bool isCleared = suspect.mObserved == 0 && suspect.mReported.empty();
+    const bool isCleared = AllCrashes(suspect).empty() && !suspect.mChangedAt;
     return isCleared || aNow - suspect.mLastCrashAt >= mOptions.mMemory;
   });
   std::erase_if(mFailedConnects, [this, aNow](const auto& aItem) {
@@ -196,14 +230,58 @@
   }
 }
 
+RequestCrashes
+CrashLimiter::AllCrashes(const Suspect& aSuspect)
+{
+  auto all = aSuspect.mObserved;
+  for (const auto& [vm, crashes] : aSuspect.mReported) {
+    all.insert(all.end(), crashes.begin(), crashes.end());
+  }
+  return all;
+}
+
 std::uint32_t
-CrashLimiter::CrashCount(const Suspect& aSuspect)
+CrashLimiter::PartCrashes(const Suspect& aSuspect, ServiceFingerprint aService)
 {
-  auto crashes = aSuspect.mObserved;
-  for (const auto& [vm, reported] : aSuspect.mReported) {
-    crashes = std::max(crashes, reported);
+  return CountSuccessiveCrashes(CrashesOfService(AllCrashes(aSuspect), aService));
+}
+
+std::uint32_t
+CrashLimiter::JointCrashes(const Suspect& aSuspect)
+{
+  auto crashes = AllCrashes(aSuspect);
+  std::erase_if(crashes, [&aSuspect](const RequestCrash& aCrash) {
+    return aCrash.mSentAt <= aSuspect.mCompletedAt;
+  });
+  const bool areSeveral = std::ranges::any_of(crashes, [&crashes](const auto& aCrash) {
+    return aCrash.mService != crashes.front().mService;
+  });
+  return areSeveral ? CountSuccessiveCrashes(std::move(crashes)) : 0;
+}
+
+std::uint32_t
+CrashLimiter::MostCrashes(const Suspect& aSuspect)
+{
+  auto most = JointCrashes(aSuspect);
+  for (const auto& crash : AllCrashes(aSuspect)) {
+    most = std::max(most, PartCrashes(aSuspect, crash.mService));
   }
-  return crashes;
+  return most;
+}
+
+void
+CrashLimiter::EraseCrashes(RequestCrashes& aCrashes, const RequestCompletion& aBefore)
+{
+  std::erase_if(aCrashes, [&aBefore](const RequestCrash& aCrash) {
+    return aCrash.mService == aBefore.mService && aCrash.mSentAt <= aBefore.mAt;
+  });
+}
+
+std::size_t
+CrashLimiter::RunningCopies(const RequestPart& aPart) const
+{
+  return static_cast<std::size_t>(std::ranges::count_if(
+    mExchanges, [&aPart](const auto& aItem) { return aItem.second.mPart == aPart; }));
 }
 
 const CrashLimiter::Suspect*
@@ -236,31 +314,28 @@
 void
 CrashLimiter::AddCrash(ExchangeMap::const_iterator aExchange, TimePoint aNow)
 {
+  /// More services than these fail rarely in one moment without all failing.
+  constexpr std::size_t kMaxServices = 64;
   const auto& exchange = aExchange->second;
-  auto& suspect = MakeSuspect(exchange.mRequest, aNow);
-  if (suspect.mObserved == 0) {
-    suspect.mFirstObservedAt = aNow;
-  }
-  auto known = exchange.mKnownCrashes;
-  const auto predecessor = suspect.mCrashedExchanges.find(exchange.mPredecessor);
-  if (predecessor != suspect.mCrashedExchanges.end()) {
-    known = std::max(known, predecessor->second);
-  }
-  suspect.mCrashedExchanges[aExchange->first] = known + 1;
-  suspect.mObserved = std::max(suspect.mObserved, known + 1);
+  const auto lostAt = exchange.mLostAt.value_or(aNow);
+  auto& suspect = MakeSuspect(exchange.mPart.mRequest, aNow);
+  suspect.mObserved.push_back({ exchange.mPart.mService, exchange.mSentAt, lostAt });
+  suspect.mObserved = CompactCrashes(std::move(suspect.mObserved), kMaxServices);
+  suspect.mCompletedAt =
+    std::max(suspect.mCompletedAt, mRunning[exchange.mPart.mRequest].mCompletedAt);
   suspect.mLastCrashAt = aNow;
+  suspect.mChangedAt = suspect.mChangedAt.value_or(aNow);
   if (mOnCrash) {
-    mOnCrash({ exchange.mRequest, exchange.mUpstream,
-               exchange.mLostAt.value_or(aNow) - exchange.mSentAt });
+    mOnCrash({ exchange.mPart.mRequest, exchange.mUpstream, lostAt - exchange.mSentAt });
   }
 }
 
 void
 CrashLimiter::Erase(ExchangeMap::iterator aExchange)
 {
-  const auto count = mExchangeCounts.find(aExchange->second.mRequest);
-  if (--count->second == 0) {
-    mExchangeCounts.erase(count);
+  const auto running = mRunning.find(aExchange->second.mPart.mRequest);
+  if (--running->second.mExchanges == 0) {
+    mRunning.erase(running);
   }
   mExchanges.erase(aExchange);
 }
--- a/src/wasabispar/routing/crash_limiter_fleet_test.cpp
+++ b/src/wasabispar/routing/crash_limiter_fleet_test.cpp
@@ -91,9 +91,10 @@
     return static_cast<int>(mUpAgainAt.size()) / kUpstreamsPerShard;
   }
 
-  static RequestFingerprint Part(int aShard)
+  static RequestPart Part(int aShard)
   {
-    return RequestFingerprint(static_cast<std::uint64_t>(100 + aShard));
+    return { RequestFingerprint(1),
+             ServiceFingerprint(static_cast<std::uint64_t>(aShard)) };
   }
 
   void SendParts(int aVm)
@@ -155,7 +156,7 @@
     Schedule(mNow + kTickPeriod, [=, this] { Tick(aVm); });
   }
 
-  void Deliver(int aFrom, const RequestCrashes& aReport)
+  void Deliver(int aFrom, const RequestCrashReport& aReport)
   {
     for (int vm = 0; vm < kVms; ++vm) {
       if (vm != aFrom) {
--- a/tests/gateway/crashing_request_test.cpp
+++ b/tests/gateway/crashing_request_test.cpp
@@ -69,12 +69,12 @@
     SetRoutes({ MakeRoute("read", target) });
   }
 
-  /// Makes the upstreams of the first @p aCount shards crash.
+  /// Makes the upstreams of the first @p aCount shards crash, and no others.
   void CrashShards(std::size_t aCount)
   {
     OnWorker([this, aCount] {
-      for (std::size_t i = 0; i < aCount * kReplicas; ++i) {
-        mUpstreams[i]->mCrashPath = kCrashPath;
+      for (std::size_t i = 0; i < mUpstreams.size(); ++i) {
+        mUpstreams[i]->mCrashPath = i < aCount * kReplicas ? kCrashPath : "";
       }
     });
   }
@@ -141,3 +141,18 @@
   }
   CHECK(crashed == 3);
 }
+
+/// Guards against a harmless request that is refused, or answered in part, because
+/// upstreams failed for another reason while it ran.
+TEST_CASE_FIXTURE(CrashingShards, "a suspect fan-out is served once a part completes")
+{
+  CrashShards(kShards);
+  SendAndWait(kCrashPath);
+  std::this_thread::sleep_for(kDetectionTime);
+  CrashShards(0);
+  const auto sent = Requests();
+  const auto answer = SendAndWait(kCrashPath);
+  CHECK(answer.mResponse.mStatus == 200);
+  CHECK(answer.mResponse.Header("Test-Missing") == "0");
+  CHECK(Requests() - sent == kShards);
+}
