--- a/include/wasabispar/gateway/protocol.hpp
+++ b/include/wasabispar/gateway/protocol.hpp
@@ -61,6 +61,11 @@
   std::optional<Duration> mQuietTime;
   /// The value that was stated instead of a valid mQuietTime; empty if there was none.
   std::string mInvalidQuietTime;
+  /// Requests a second that the upstream takes from all VMs together; empty if it states
+  /// no limit. Valid as mIsLeaving.
+  std::optional<double> mRequestLimit;
+  /// The value that was stated instead of a valid mRequestLimit; empty if there was none.
+  std::string mInvalidRequestLimit;
   /// The response to forward, without hop-by-hop headers.
   HttpResponse mResponse;
 };
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -14,6 +14,7 @@
 constexpr auto kTimeLeftHeader = "Test-Left-Ms";
 constexpr auto kSignatureHeader = "Test-Signature";
 constexpr auto kLeavingHeader = "Test-Leaving";
+constexpr auto kLimitHeader = "Test-Limit";
 constexpr auto kQuietHeader = "Test-Quiet-Ms";
 
 /// The test protocol between callers and the gateway.
@@ -93,6 +94,9 @@
     reply.mKind = KindOf(aRequest, aResponse);
     reply.mSignature = AnswerSignature(std::string(aResponse.Header(kSignatureHeader)));
     reply.mIsLeaving = !aResponse.Header(kLeavingHeader).empty();
+    if (const auto limit = aResponse.Header(kLimitHeader); !limit.empty()) {
+      reply.mRequestLimit = std::stod(std::string(limit));
+    }
     if (const auto quiet = aResponse.Header(kQuietHeader); !quiet.empty()) {
       reply.mQuietTime = std::chrono::milliseconds(std::stoll(std::string(quiet)));
     }
