Request limit: keep to an equal share of the limit that an upstream names

Cause: nothing read the header, and no VM has a part of a limit on a rate; only connections are divided.

Change: RequestLimit, a token bucket for each upstream with the limit divided by the number of VMs. An upstream at its limit is busy; a service whose upstreams are all limited refuses at once what could only be late.

--- a/include/wasabispar/gateway/gateway.hpp
+++ b/include/wasabispar/gateway/gateway.hpp
@@ -77,6 +77,8 @@
   void CountLeavingAnnouncement(const ServiceName& aService);
   /// @brief Counts an answer in which an upstream asked to get nothing for a while.
   void CountQuietRequest(const ServiceName& aService);
+  /// @brief Counts a change of the request limit that an upstream names.
+  void CountRequestLimitChange(const ServiceName& aService);
   /// @brief Counts a finished exchange by the step that ended it.
   void CountExchange(TraceStep aStep);
 };
@@ -124,6 +126,10 @@
   /// The answer of the upstream to this request asked for quiet; logs what it asked for.
   void OnQuietRequested(ServicePool& aPool, Replica& aReplica,
                         const UpstreamReply& aReply, const CallerRequestId& aRequest);
+  /// Takes account of the request limit that an answer of the upstream names, or of its
+  /// end; logs a change. @p aSentAt is when the answered request was sent.
+  void OnRequestLimit(ServicePool& aPool, Replica& aReplica, const UpstreamReply& aReply,
+                      TimePoint aSentAt);
   /// The pool of a service; created when there is none.
   ServicePool& PoolOf(const ServiceName& aService);
   /// Refuses a request that was not routed; @p aRequest is null when it is malformed.
--- a/include/wasabispar/gateway/service_pool.hpp
+++ b/include/wasabispar/gateway/service_pool.hpp
@@ -15,6 +15,7 @@
 #include "wasabispar/routing/quiet_period.hpp"
 #include "wasabispar/routing/replica_load.hpp"
 #include "wasabispar/routing/request_interval.hpp"
+#include "wasabispar/routing/request_limit.hpp"
 #include "wasabispar/routing/upstream_directory.hpp"
 #include "wasabispar/routing/wait_queue.hpp"
 
@@ -48,6 +49,8 @@
   ReplicaLoad mLoad;
   /// The upstream asked to get nothing from this VM for a while.
   QuietPeriod mQuietPeriod;
+  /// The requests a second that the upstream takes from all VMs.
+  RequestLimit mRequestLimit;
   std::shared_ptr<ConnectionPool> mConnectionPool;
   /// Probes the upstream after a lost exchange.
   Subscription mProbeTimer;
@@ -101,6 +104,12 @@
   std::function<std::vector<ConnectionQuota>(const std::vector<UpstreamRecord>&,
                                              std::uint32_t aMax)>
     mConnectionQuotas;
+  /// Number of VMs that share the request limit of an upstream, at least 1. If empty,
+  /// this VM has it alone.
+  std::function<std::size_t()> mVmCount;
+  /// Runs the timers of the pool; null if it has none, so that requests which wait for a
+  /// limited upstream are only started by Tick() and the end of exchanges.
+  TimerService* mTimers = nullptr;
   /// Called when a connection to an upstream was opened, or could not be opened.
   std::function<void(const UpstreamIncarnation&, bool aIsOpened)> mOnConnectEnd;
   /// Bounds the answers of all services that are being read at the same time.
@@ -114,7 +123,7 @@
   {
     /// mReplica is the chosen upstream.
     Found,
-    /// All usable upstreams are at their limit of exchanges.
+    /// All usable upstreams are at their limit of exchanges or of requests a second.
     Busy,
     /// There is no usable upstream.
     None,
@@ -161,11 +170,19 @@
   std::optional<Duration> ReturnDelay(TimePoint aNow) const;
   /// @brief The upstream asked to get nothing from this VM for @p aTime.
   void OnQuietRequested(Replica& aReplica, Duration aTime, TimePoint aNow);
+  /// @brief An answer of the upstream names this limit, or none; returns whether the
+  /// limit has changed. @p aSentAt is when the answered request was sent.
+  bool OnRequestLimit(Replica& aReplica, std::optional<double> aPerSecond,
+                      TimePoint aSentAt, TimePoint aNow);
+  /// @brief Whether each usable upstream limits the requests that it takes.
+  bool IsLimited() const;
   /// @brief Expected time in the queue of a request that is added now. @p aAnswerBy is
   /// the last time at which its answer is on time.
   Duration ExpectedWait(std::uint32_t aPriority, TimePoint aAnswerBy,
                         TimePoint aNow) const;
 
+  /// @brief Starts waiting requests as far as upstreams are free.
+  void DispatchQueue();
   /// @brief The requests that wait for a free upstream.
   WaitQueue& Queue() { return mQueue; }
   /// @brief The budget for extra sends.
@@ -174,6 +191,10 @@
 private:
   /// Applies the quota of this VM to an upstream.
   static void ApplyQuota(Replica& aReplica, const ConnectionQuota& aQuota);
+  /// Starts waiting requests again when a limited upstream may get the next request.
+  void DispatchLater(TimePoint aNow);
+  /// When the first of the usable upstreams may get a request by its request limit.
+  std::optional<TimePoint> NextSendAt(TimePoint aNow) const;
   /// When the first of the usable upstreams may get a request, if all of them asked for
   /// quiet; empty otherwise.
   std::optional<TimePoint> QuietUntil(TimePoint aNow) const;
@@ -201,6 +222,8 @@
   ExtraLoadWindow mExtraLoad;
   RequestInterval mRequestInterval;
   RandomFn mRandom;
+  /// For DispatchLater().
+  Subscription mDispatchTimer;
 };
 
 } // namespace wasabispar
--- a/include/wasabispar/routing/placement.hpp
+++ b/include/wasabispar/routing/placement.hpp
@@ -32,6 +32,8 @@
   bool mIsAvoided = false;
   /// A connection has to be opened for this request alone.
   bool mIsOverflow = false;
+  /// The upstream's request limit allows no request of this VM now.
+  bool mIsAtRequestLimit = false;
 };
 
 /// @brief The expected response time, plus the wait behind the exchanges that this VM
@@ -40,9 +42,9 @@
 Duration
 PlacementCost(const ReplicaCandidate& aCandidate);
 
-/// @brief The mIndex of the candidate with the lowest cost among those below their limit
-/// of exchanges. An avoided candidate is chosen only when there is no other. Empty when
-/// all candidates are at their limit.
+/// @brief The mIndex of the candidate with the lowest cost among those below their limits
+/// of exchanges and requests. An avoided candidate is chosen only when there is no other.
+/// Empty when all candidates are at a limit.
 std::optional<std::size_t>
 ChooseCandidate(const std::vector<ReplicaCandidate>& aCandidates);
 
--- /dev/null
+++ b/include/wasabispar/routing/request_limit.hpp
@@ -0,0 +1,76 @@
+/// @file
+/// @brief The rate at which this VM may send requests to an upstream that limits the
+/// requests which it takes from all VMs together.
+#pragma once
+
+#include "wasabispar/base/clock.hpp"
+#include "wasabispar/base/random.hpp"
+
+#include <cstddef>
+#include <optional>
+
+namespace wasabispar {
+
+/// @brief Settings of RequestLimit.
+struct RequestLimitOptions
+{
+  /// A lower limit, in requests a second of all VMs, counts as this one, so that the VMs
+  /// learn when the upstream names no limit any more.
+  double mMinLimit = 0.25;
+  /// Time for which a VM saves up the requests that it does not send. It saves up one
+  /// request at least.
+  Duration mBurstTime = std::chrono::milliseconds(250);
+};
+
+/// @brief Follows the limit that one upstream names and gives this VM an equal share of
+/// it. Not thread-safe.
+///
+/// Invariant: in any time T, this VM sends at most its share of T and of mBurstTime, and
+/// one request more.
+class RequestLimit
+{
+public:
+  explicit RequestLimit(RequestLimitOptions aOptions = {})
+    : mOptions(aOptions)
+  {
+  }
+
+  /// @brief An answer to a request that was sent at @p aSentAt names the limit
+  /// @p aPerSecond; empty if it names none, which ends a limit that was named before
+  /// @p aSentAt.
+  /// @param aVms number of VMs that share the limit, at least 1.
+  /// @param aRandom spreads the first requests of the VMs.
+  /// @return whether the limit has changed.
+  bool OnAnswer(std::optional<double> aPerSecond, std::size_t aVms, TimePoint aSentAt,
+                TimePoint aNow, const RandomFn& aRandom);
+  /// @brief A request is sent.
+  void OnSent(TimePoint aNow);
+  /// @brief A request that OnSent() counted was not sent after all.
+  void OnWithdrawn();
+
+  /// @brief Whether the upstream names a limit.
+  bool IsLimited() const { return mLimit.has_value(); }
+  /// @brief The named limit in requests a second of all VMs; empty if there is none.
+  std::optional<double> Limit() const { return mLimit; }
+  /// @brief This VM's share in requests a second; empty if there is no limit.
+  std::optional<double> Share() const;
+  /// @brief Whether a request may be sent now.
+  bool MaySend(TimePoint aNow) const { return NextSendAt(aNow) <= aNow; }
+  /// @brief When the next request may be sent; @p aNow if one may be sent now.
+  TimePoint NextSendAt(TimePoint aNow) const;
+
+private:
+  /// Saved-up requests at @p aNow; negative while a withdrawn limit is exceeded.
+  double SavedAt(TimePoint aNow) const;
+
+  RequestLimitOptions mOptions;
+  std::optional<double> mLimit;
+  std::size_t mVms = 1;
+  /// When an answer named a limit for the last time after one that named none.
+  TimePoint mNamedAt{};
+  /// Requests that may be sent, at mSavedTime.
+  double mSaved = 0;
+  TimePoint mSavedTime{};
+};
+
+} // namespace wasabispar
--- a/src/wasabispar/gateway/active_request.cpp
+++ b/src/wasabispar/gateway/active_request.cpp
@@ -115,7 +115,7 @@
     const auto& pool = *mParts[i].mServicePool;
     const auto expected = pool.BestExpectedLatency({}, aNow);
     const auto wait = pool.ExpectedWait(mRoute.mPriority, mFanOutState.AnswerBy(), aNow);
-    if (!expected || aNow + wait >= mFanOutState.Deadline()) {
+    if (!expected || aNow + wait >= LatestSend(pool, *expected)) {
       mTrace.Add(TraceStep::PartGivenUp, i, {}, ToMicroseconds(wait), aNow);
       mFanOutState.OnLost(i);
     }
@@ -123,6 +123,15 @@
   return mFanOutState.Decide(aNow) != FanOutDecision::Fail;
 }
 
+/// When all upstreams of a service limit their requests, those that would be late must
+/// not use up what others can be answered with in time.
+TimePoint
+ActiveRequest::LatestSend(const ServicePool& aPool, Duration aExpectedLatency) const
+{
+  return aPool.IsLimited() ? mFanOutState.AnswerBy() - aExpectedLatency
+                           : mFanOutState.Deadline();
+}
+
 bool
 ActiveRequest::IsCrashLimitKept(std::size_t aPart, TimePoint aNow)
 {
@@ -253,7 +262,7 @@
                                   const auto self = weak.lock();
                                   return !self || self->TryLaunch(aPart, aStep);
                                 });
-  queue.Dispatch();
+  part.mServicePool->DispatchQueue();
 }
 
 bool
@@ -313,6 +322,7 @@
   ++part.mPossibleRunCount;
   PlanHedge(part, expected, now);
   aReplica->mLoad.OnSent(exchange, now);
+  aReplica->mRequestLimit.OnSent(now);
 
   PooledRequest pooled;
   pooled.mMakeRequest = [self = shared_from_this(),
@@ -403,7 +413,7 @@
   if (mIsCallerDisconnected) {
     RecordEnd(exchange, httpEnd, {});
     exchange.mReplica->mLoad.OnAbandoned(aExchange);
-    part.mServicePool->Queue().Dispatch();
+    part.mServicePool->DispatchQueue();
     return;
   }
   const auto end = Classify(part, exchange, std::move(aResult), aMayHaveBeenSent, now);
@@ -423,7 +433,7 @@
     LaunchHeldParts();
     ApplyDecision();
   }
-  part.mServicePool->Queue().Dispatch();
+  part.mServicePool->DispatchQueue();
 }
 
 TraceStep
@@ -440,6 +450,7 @@
   }
   if (!aMayHaveBeenSent) {
     load.OnAbandoned(aExchange.mId);
+    aExchange.mReplica->mRequestLimit.OnWithdrawn();
     --aPart.mPossibleRunCount;
     return TraceStep::Unreachable;
   }
@@ -457,6 +468,8 @@
   }
   mGateway.OnQuietRequested(*aPart.mServicePool, *aExchange.mReplica, aReply,
                             mRequest.mId);
+  mGateway.OnRequestLimit(*aPart.mServicePool, *aExchange.mReplica, aReply,
+                          aExchange.mSentAt);
   switch (aReply.mKind) {
     case UpstreamReply::Kind::Answer:
       load.OnAnswered(aExchange.mId, aNow);
--- a/src/wasabispar/gateway/active_request.hpp
+++ b/src/wasabispar/gateway/active_request.hpp
@@ -78,6 +78,8 @@
   /// Abandons the parts that no upstream can answer in time; returns false when too few
   /// parts are left.
   bool AbandonUnservableParts(TimePoint aNow);
+  /// Until when a part that arrives now must be sent; else it is abandoned at once.
+  TimePoint LatestSend(const ServicePool& aPool, Duration aExpectedLatency) const;
   /// Sends a part to the best upstream. Queues the part when all upstreams are busy or
   /// other requests are ahead, and abandons it when no upstream is left.
   void Launch(std::size_t aPart, TraceStep aStep);
--- a/src/wasabispar/gateway/gateway.cpp
+++ b/src/wasabispar/gateway/gateway.cpp
@@ -124,6 +124,16 @@
     .Increment();
 }
 
+void
+GatewayMetrics::CountRequestLimitChange(const ServiceName& aService)
+{
+  mMetrics
+    .Counter("wasabispar_gateway_request_limit_changes_total",
+             "Changes of the request limits that upstreams name.",
+             { { "service", aService.Text() } })
+    .Increment();
+}
+
 void
 GatewayMetrics::CountExchange(TraceStep aStep)
 {
@@ -135,6 +145,13 @@
 
 namespace {
 
+/// A rate in requests a second as a whole number for the log; 0 if there is none.
+std::uint64_t
+PerThousandSeconds(std::optional<double> aPerSecond)
+{
+  return static_cast<std::uint64_t>(aPerSecond.value_or(0) * 1000);
+}
+
 /// Logs a crash with the service that the upstream belonged to.
 void
 LogCrash(const UpstreamCrash& aCrash, const ServiceName& aService)
@@ -165,6 +182,7 @@
 {
   mOptions.mPools.mResponseBudget =
     std::make_shared<ByteBudget>(mOptions.mMaxResponseBytes);
+  mOptions.mPools.mTimers = &mWorker.Timers();
   mOptions.mPools.mOnConnectEnd = [this](const UpstreamIncarnation& aUpstream,
                                          bool aIsOpened) {
     if (aIsOpened) {
@@ -249,6 +267,32 @@
   }
 }
 
+void
+Gateway::OnRequestLimit(ServicePool& aPool, Replica& aReplica,
+                        const UpstreamReply& aReply, TimePoint aSentAt)
+{
+  const auto& record = aReplica.mRecord;
+  if (!aReply.mInvalidRequestLimit.empty()) {
+    LogEvent(
+      LogLevel::Warning, "upstream-limit-ignored",
+      { { "upstream", record.mId.Text() }, { "value", aReply.mInvalidRequestLimit } });
+  }
+  const bool comesFromUpstream = aReply.mKind != UpstreamReply::Kind::Invalid &&
+                                 aReply.mKind != UpstreamReply::Kind::WrongUpstream;
+  const bool isStated = aReply.mRequestLimit || aReply.mInvalidRequestLimit.empty();
+  if (!comesFromUpstream || !isStated ||
+      !aPool.OnRequestLimit(aReplica, aReply.mRequestLimit, aSentAt, BootClock::now())) {
+    return;
+  }
+  mMetrics.CountRequestLimitChange(record.mService);
+  const auto& limit = aReplica.mRequestLimit;
+  LogEvent(LogLevel::Info, limit.IsLimited() ? "upstream-limit" : "upstream-limit-ended",
+           { { "upstream", record.mId.Text() },
+             { "service", record.mService.Text() },
+             { "per_1000_s", PerThousandSeconds(limit.Limit()) },
+             { "share_per_1000_s", PerThousandSeconds(limit.Share()) } });
+}
+
 void
 Gateway::OnCrashReport(const VmId& aVm, const RequestCrashReport& aReport)
 {
--- a/src/wasabispar/gateway/service_pool.cpp
+++ b/src/wasabispar/gateway/service_pool.cpp
@@ -33,6 +33,17 @@
   return options;
 }
 
+/// Requests a second that this VM can send to an upstream.
+double
+SendRate(const ReplicaCandidate& aCandidate, const RequestLimit& aLimit)
+{
+  constexpr double kMinSeconds = 0.001;
+  const auto seconds = ToDoubleMilliseconds(aCandidate.mExpectedLatency) / 1000.0;
+  const auto rate =
+    static_cast<double>(aCandidate.mMaxInFlight) / std::max(seconds, kMinSeconds);
+  return std::min(rate, aLimit.Share().value_or(rate));
+}
+
 bool
 Contains(const std::vector<UpstreamId>& aIds, const UpstreamId& aId)
 {
@@ -230,7 +241,58 @@
       replica->mConnectionPool->Tick();
     }
   }
+  DispatchQueue();
+}
+
+void
+ServicePool::DispatchQueue()
+{
   mQueue.Dispatch();
+  if (mQueue.Length() > 0) {
+    DispatchLater(BootClock::now());
+  }
+}
+
+void
+ServicePool::DispatchLater(TimePoint aNow)
+{
+  /// Requests that become possible within this time are started together.
+  constexpr Duration kMinDelay = std::chrono::milliseconds(2);
+  const auto next = NextSendAt(aNow);
+  if (!mOptions.mTimers || !next || *next <= aNow) {
+    return;
+  }
+  mDispatchTimer = mOptions.mTimers->After(std::max(*next - aNow, kMinDelay),
+                                           [this] { DispatchQueue(); });
+}
+
+std::optional<TimePoint>
+ServicePool::NextSendAt(TimePoint aNow) const
+{
+  std::optional<TimePoint> next;
+  for (const auto& replica : mReplicas) {
+    if (replica->IsUsable() && !replica->IsUnreachable()) {
+      const auto at = replica->mRequestLimit.NextSendAt(aNow);
+      next = std::min(next.value_or(at), at);
+    }
+  }
+  return next;
+}
+
+bool
+ServicePool::OnRequestLimit(Replica& aReplica, std::optional<double> aPerSecond,
+                            TimePoint aSentAt, TimePoint aNow)
+{
+  const auto vms = mOptions.mVmCount ? mOptions.mVmCount() : 1;
+  return aReplica.mRequestLimit.OnAnswer(aPerSecond, vms, aSentAt, aNow, mRandom);
+}
+
+bool
+ServicePool::IsLimited() const
+{
+  return std::ranges::all_of(mReplicas, [](const ReplicaPtr& aReplica) {
+    return !aReplica->IsUsable() || aReplica->mRequestLimit.IsLimited();
+  });
 }
 
 void
@@ -257,7 +319,8 @@
     candidates.push_back({ i, replica.mLoad.ExpectedLatency(aNow),
                            replica.mLoad.FailureRatio(aNow), replica.mLoad.InFlight(),
                            maxExchanges, replica.mRecord.mSlots, replica.mIsRemote,
-                           replica.mLoad.IsAvoided(aNow), replica.mIsOverflow });
+                           replica.mLoad.IsAvoided(aNow), replica.mIsOverflow,
+                           !replica.mRequestLimit.MaySend(aNow) });
   }
   return candidates;
 }
@@ -343,16 +406,20 @@
                           TimePoint aNow) const
 {
   const auto ahead = mQueue.CountAhead(aPriority, aAnswerBy);
+  const auto candidates = Candidates({}, aNow);
+  const bool isAtLimit =
+    !candidates.empty() &&
+    std::ranges::all_of(candidates, &ReplicaCandidate::mIsAtRequestLimit);
+  const auto untilFirst = isAtLimit ? *NextSendAt(aNow) - aNow : Duration{};
   double perSecond = 0;
-  for (const auto& candidate : Candidates({}, aNow)) {
-    const auto seconds = ToDoubleMilliseconds(candidate.mExpectedLatency) / 1000.0;
-    perSecond += static_cast<double>(candidate.mMaxInFlight) / std::max(seconds, 0.001);
+  for (const auto& candidate : candidates) {
+    perSecond += SendRate(candidate, mReplicas[candidate.mIndex]->mRequestLimit);
   }
   if (ahead == 0 || perSecond <= 0) {
-    return Duration{};
+    return untilFirst;
   }
-  return Duration(
-    static_cast<Duration::rep>(static_cast<double>(ahead) / perSecond * 1e9));
+  return untilFirst + Duration(static_cast<Duration::rep>(static_cast<double>(ahead) /
+                                                          perSecond * 1e9));
 }
 
 } // namespace wasabispar
--- a/src/wasabispar/routing/placement.cpp
+++ b/src/wasabispar/routing/placement.cpp
@@ -41,7 +41,7 @@
 {
   const ReplicaCandidate* best = nullptr;
   for (const auto& candidate : aCandidates) {
-    if (candidate.mInFlight >= candidate.mMaxInFlight) {
+    if (candidate.mInFlight >= candidate.mMaxInFlight || candidate.mIsAtRequestLimit) {
       continue;
     }
     if (!best || (best->mIsAvoided && !candidate.mIsAvoided) ||
--- a/tests/gateway/request_limit_test.cpp
+++ b/tests/gateway/request_limit_test.cpp
@@ -4,7 +4,9 @@
 
 #include <doctest/doctest.h>
 
+#include <future>
 #include <thread>
+#include <vector>
 
 using namespace wasabispar;
 using namespace std::chrono_literals;
@@ -68,3 +70,54 @@
   CHECK(mFirst.Requests() - first <= kMaxRequests);
   CHECK(mSecond.Requests() - second <= kMaxRequests);
 }
+
+/// Guards against requests that wait for limited upstreams until they are late, and so
+/// use up what others could be answered with in time.
+TEST_CASE_FIXTURE(LimitedUpstreams,
+                  "what limited upstreams cannot take is refused at once")
+{
+  SetLimit(mFirst, "4");
+  SetLimit(mSecond, "4");
+  SendForWindow();
+  std::vector<std::future<GatewayAnswer>> answers;
+  for (int i = 0; i < 20; ++i) {
+    answers.push_back(Send("/read/1", 2s));
+  }
+  int refused = 0;
+  for (auto& future : answers) {
+    const auto answer = future.get();
+    if (answer.mResponse.mStatus != 200) {
+      ++refused;
+      CHECK(answer.mResponse.mBody == "unavailable");
+      CHECK_FALSE(answer.mResponse.Header("Test-Retry-Ms").empty());
+      CHECK(answer.mTook < 50ms);
+    }
+  }
+  // The objective is 300 ms, in which the upstreams take two or three requests.
+  CHECK(refused >= 15);
+  CHECK(refused < 20);
+}
+
+/// Guards against an upstream that is spared for longer than it asked.
+TEST_CASE_FIXTURE(LimitedUpstreams, "a limit ends with the first answer without it")
+{
+  SetLimit(mFirst, "4");
+  SetLimit(mSecond, "4");
+  SendForWindow();
+  SetLimit(mFirst, "");
+  SetLimit(mSecond, "");
+  SendForWindow();
+  const auto sent = mFirst.Requests() + mSecond.Requests();
+  SendForWindow();
+  CHECK(mFirst.Requests() + mSecond.Requests() - sent > 2 * kMaxRequests);
+}
+
+/// Guards against an unlimited upstream that is not used because another one is limited.
+TEST_CASE_FIXTURE(LimitedUpstreams, "an upstream without a limit serves all requests")
+{
+  SetLimit(mFirst, "4");
+  SendForWindow();
+  for (int i = 0; i < 200; ++i) {
+    CHECK(SendAndWait("/read/1").mResponse.mStatus == 200);
+  }
+}
