--- a/include/wasabispar/routing/request_limit.hpp
+++ b/include/wasabispar/routing/request_limit.hpp
@@ -60,7 +60,7 @@
   TimePoint NextSendAt(TimePoint aNow) const;
 
 private:
-  /// Saved-up requests at @p aNow; negative while a withdrawn limit is exceeded.
+  /// Requests that may be sent at @p aNow, with a fraction.
   double SavedAt(TimePoint aNow) const;
 
   RequestLimitOptions mOptions;
--- a/src/wasabispar/gateway/active_request.cpp
+++ b/src/wasabispar/gateway/active_request.cpp
@@ -1,5 +1,5 @@
 /// @file
-/// @brief Places, sends, retries and hedges the parts of a request.
+/// @brief The start of a request, the ends of its exchanges and the decisions in between.
 #include "wasabispar/gateway/active_request.hpp"
 
 #include "wasabispar/base/hash.hpp"
@@ -11,8 +11,6 @@
 
 namespace {
 
-/// Delay before a hedge is tried again when all upstreams are busy.
-constexpr Duration kHedgeRecheckDelay = std::chrono::milliseconds(5);
 /// Time reserved for the final answer to reach the caller before the caller's timeout.
 constexpr Duration kDeadlineMargin = std::chrono::milliseconds(15);
 /// Fraction of the objective that is reserved for the transit from and to the caller, up
@@ -132,41 +130,6 @@
                            : mFanOutState.Deadline();
 }
 
-bool
-ActiveRequest::IsCrashLimitKept(std::size_t aPart, TimePoint aNow)
-{
-  const auto& identity = mParts[aPart].mIdentity;
-  auto& limiter = mGateway.mCrashLimiter;
-  if (limiter.MaySend(identity, aNow)) {
-    return true;
-  }
-  mTrace.Add(limiter.BlockedUntil(identity, aNow) ? TraceStep::Blocked : TraceStep::Held,
-             aPart, {}, identity.mRequest.Value(), aNow);
-  return false;
-}
-
-void
-ActiveRequest::HoldOrAbandon(std::size_t aPart, TraceStep aStep, TimePoint aNow)
-{
-  auto& part = mParts[aPart];
-  if (!HasOpenExchanges() || mGateway.mCrashLimiter.BlockedUntil(part.mIdentity, aNow)) {
-    AbandonPart(aPart, aNow);
-    return;
-  }
-  part.mHeldStep = aStep;
-}
-
-void
-ActiveRequest::LaunchHeldParts()
-{
-  for (std::size_t i = 0; i < mParts.size(); ++i) {
-    const auto step = std::exchange(mParts[i].mHeldStep, std::nullopt);
-    if (step && !mIsFinished && mFanOutState.IsOpen(i)) {
-      Launch(i, *step);
-    }
-  }
-}
-
 bool
 ActiveRequest::HasOpenExchanges() const
 {
@@ -174,19 +137,6 @@
     mParts, [](const Part& aPart) { return !aPart.mOpenExchanges.empty(); });
 }
 
-bool
-ActiveRequest::MayStillSend(std::size_t aPart, ExchangeId aExchange,
-                            const Replica& aReplica, TimePoint aNow)
-{
-  const bool takesRequests = aReplica.IsUsable() && !aReplica.mQuietPeriod.IsQuiet(aNow);
-  if (!takesRequests || !IsCrashLimitKept(aPart, aNow)) {
-    return false;
-  }
-  mGateway.mCrashLimiter.OnSent(aExchange, mParts[aPart].mIdentity,
-                                aReplica.Incarnation(), aNow);
-  return true;
-}
-
 void
 ActiveRequest::RecordEnd(const Exchange& aExchange, HttpExchangeEnd aEnd,
                          std::optional<TraceStep> aStep)
@@ -213,179 +163,6 @@
     });
 }
 
-void
-ActiveRequest::Launch(std::size_t aPart, TraceStep aStep)
-{
-  const auto now = BootClock::now();
-  auto& part = mParts[aPart];
-  if (!IsCrashLimitKept(aPart, now)) {
-    HoldOrAbandon(aPart, aStep, now);
-    return;
-  }
-  const auto placement = part.mServicePool->Choose(part.mTried, now);
-  switch (placement.mKind) {
-    case PlacementResult::Kind::Found:
-      // Requests that are ahead in the queue are sent first.
-      if (part.mServicePool->Queue().CountAhead(mRoute.mPriority,
-                                                mFanOutState.AnswerBy()) == 0) {
-        Send(aPart, placement.mReplica, aStep);
-        return;
-      }
-      [[fallthrough]];
-    case PlacementResult::Kind::Busy:
-      Enqueue(aPart, aStep);
-      return;
-    case PlacementResult::Kind::None:
-      break;
-  }
-  if (part.mOpenExchanges.empty()) {
-    AbandonPart(aPart, now);
-  }
-}
-
-void
-ActiveRequest::AbandonPart(std::size_t aPart, TimePoint aNow)
-{
-  mTrace.Add(TraceStep::PartGivenUp, aPart, {}, mParts[aPart].mTried.size(), aNow);
-  mFanOutState.OnLost(aPart);
-}
-
-void
-ActiveRequest::Enqueue(std::size_t aPart, TraceStep aStep)
-{
-  auto& part = mParts[aPart];
-  auto& queue = part.mServicePool->Queue();
-  const auto ahead = queue.CountAhead(mRoute.mPriority, mFanOutState.AnswerBy());
-  mTrace.Add(TraceStep::Queued, aPart, {}, ahead, BootClock::now());
-  part.mQueueEntry = queue.Push(mRoute.mPriority, mFanOutState.AnswerBy(),
-                                [weak = weak_from_this(), aPart, aStep] {
-                                  const auto self = weak.lock();
-                                  return !self || self->TryLaunch(aPart, aStep);
-                                });
-  part.mServicePool->DispatchQueue();
-}
-
-bool
-ActiveRequest::TryLaunch(std::size_t aPart, TraceStep aStep)
-{
-  auto& part = mParts[aPart];
-  if (mIsFinished || !mFanOutState.IsOpen(aPart)) {
-    part.mQueueEntry.reset();
-    return true;
-  }
-  const auto now = BootClock::now();
-  if (!IsCrashLimitKept(aPart, now)) {
-    part.mQueueEntry.reset();
-    HoldOrAbandon(aPart, aStep, now);
-    ApplyDecision();
-    return true;
-  }
-  const auto placement = part.mServicePool->Choose(part.mTried, now);
-  if (placement.mKind == PlacementResult::Kind::Busy) {
-    return false;
-  }
-  part.mQueueEntry.reset();
-  if (placement.mKind == PlacementResult::Kind::Found) {
-    Send(aPart, placement.mReplica, aStep);
-    return true;
-  }
-  if (part.mOpenExchanges.empty()) {
-    AbandonPart(aPart, now);
-    ApplyDecision();
-  }
-  return true;
-}
-
-void
-ActiveRequest::LeaveQueue(Part& aPart)
-{
-  if (const auto entry = std::exchange(aPart.mQueueEntry, std::nullopt)) {
-    aPart.mServicePool->Queue().Cancel(*entry);
-  }
-}
-
-void
-ActiveRequest::Send(std::size_t aPart, const ReplicaPtr& aReplica, TraceStep aStep)
-{
-  const auto now = BootClock::now();
-  auto& part = mParts[aPart];
-  auto& metrics = mGateway.mMetrics;
-  const auto exchange = mGateway.mNextExchange++;
-  const auto expected = aReplica->mLoad.ExpectedLatency(now);
-  mTrace.Add(aStep, aPart, aReplica->mRecord.mId, ToMicroseconds(expected), now);
-  (aStep == TraceStep::Sent     ? metrics.mSentFirst
-   : aStep == TraceStep::Hedged ? metrics.mSentHedge
-                                : metrics.mSentRetry)
-    .Increment();
-  part.mTried.push_back(aReplica->mRecord.mId);
-  part.mOpenExchanges.push_back({ exchange, aReplica, now, false });
-  ++part.mPossibleRunCount;
-  PlanHedge(part, expected, now);
-  aReplica->mLoad.OnSent(exchange, now);
-  aReplica->mRequestLimit.OnSent(now);
-
-  PooledRequest pooled;
-  pooled.mMakeRequest = [self = shared_from_this(),
-                         id = aReplica->mRecord.mId](TimePoint aSentAt) {
-    return self->mGateway.mUpstreamProtocol.mEncode(
-      self->mRequest, id, self->mFanOutState.Deadline() - aSentAt);
-  };
-  pooled.mDeadline = mFanOutState.Deadline();
-  pooled.mMayReuse = [self = shared_from_this()](const HttpResponse& aResponse) {
-    return self->mGateway.mUpstreamProtocol.mMayReuse(self->mRequest, aResponse);
-  };
-  pooled.mMayStillSend = [self = shared_from_this(), aPart, exchange,
-                          aReplica](TimePoint aSendAt) {
-    return self->MayStillSend(aPart, exchange, *aReplica, aSendAt);
-  };
-  pooled.mOnStarted = [self = shared_from_this(), aPart, exchange](std::uint64_t) {
-    self->OnStarted(aPart, exchange);
-  };
-  pooled.mDone = [self = shared_from_this(), aPart, exchange](HttpExchangeResult aResult,
-                                                              bool aMayHaveBeenSent) {
-    self->OnExchangeEnd(aPart, exchange, std::move(aResult), aMayHaveBeenSent);
-  };
-  aReplica->mConnectionPool->Submit(exchange, std::move(pooled));
-}
-
-void
-ActiveRequest::PlanHedge(Part& aPart, Duration aExpected, TimePoint aNow)
-{
-  aPart.mHedgeAt.reset();
-  if (!mRoute.mIsIdempotent || aPart.mPossibleRunCount >= mRoute.mMaxAttempts) {
-    return;
-  }
-  if (const auto alternative =
-        aPart.mServicePool->BestExpectedLatency(aPart.mTried, aNow)) {
-    aPart.mHedgeAt =
-      aNow + HedgeDelay(aExpected, *alternative, mFanOutState.AnswerBy() - aNow);
-  }
-}
-
-void
-ActiveRequest::Hedge(std::size_t aPart, TimePoint aNow)
-{
-  auto& part = mParts[aPart];
-  part.mHedgeAt.reset();
-  if (!IsCrashLimitKept(aPart, aNow)) {
-    return;
-  }
-  const auto placement = part.mServicePool->Choose(part.mTried, aNow);
-  if (placement.mKind == PlacementResult::Kind::Busy) {
-    part.mHedgeAt = aNow + kHedgeRecheckDelay;
-    return;
-  }
-  if (placement.mKind == PlacementResult::Kind::None) {
-    return;
-  }
-  if (!part.mServicePool->ExtraLoad().TryTake(ExtraSend::Hedge, aNow)) {
-    mTrace.Add(TraceStep::HedgeDenied, aPart, {}, 0, aNow);
-    mGateway.mMetrics.mHedgesDenied.Increment();
-    return;
-  }
-  Send(aPart, placement.mReplica, TraceStep::Hedged);
-}
-
 void
 ActiveRequest::OnStarted(std::size_t aPart, ExchangeId aExchange)
 {
