Quotas: names and a comment that need no explaining

kAmpleQuotaPerVm is kMinEqualQuota, CompactHolder is HolderKey; the comment on exchanges for each slot says what the second one is for. No change of logic.

--- a/include/wasabispar/fleet/regional_quota.hpp
+++ b/include/wasabispar/fleet/regional_quota.hpp
@@ -85,7 +85,7 @@
 private:
   /// A quota holder with its id and region replaced by numbers, as each update of the
   /// view computes the quotas for all services.
-  struct CompactHolder
+  struct HolderKey
   {
     /// Hash of the VM's id.
     std::uint64_t mHash = 0;
@@ -98,11 +98,11 @@
   /// The position of @p aRegion in mRegions; the size of mRegions if it is absent.
   std::size_t RegionIndex(const RegionId& aRegion) const;
   /// The holders by rendezvous rank for the service of @p aUpstreams, best first.
-  std::vector<CompactHolder> RankHolders(
+  std::vector<HolderKey> RankHolders(
     const std::vector<RegionalUpstream>& aUpstreams) const;
 
   /// Sorted by the ids of the VMs, so that all VMs break ties in the same way.
-  std::vector<CompactHolder> mHolders;
+  std::vector<HolderKey> mHolders;
   /// The regions of the holders.
   std::vector<RegionId> mRegions;
   /// This VM is among the holders.
--- a/src/wasabispar/fleet/regional_quota.cpp
+++ b/src/wasabispar/fleet/regional_quota.cpp
@@ -16,7 +16,7 @@
 /// With at least this many connections for each VM, all VMs get the same quota. Each VM
 /// keeps one connection open, so that at least half of the connections remain for all VMs
 /// to connect once more after a power loss.
-constexpr std::uint32_t kAmpleQuotaPerVm = 2;
+constexpr std::uint32_t kMinEqualQuota = 2;
 /// VMs may overflow their quotas of an upstream if at least this fraction of its
 /// connections is not kept open.
 constexpr Permille kMinOverflowRoom(250);
@@ -49,7 +49,7 @@
     for (const auto& upstream : aUpstreams) {
       mRegions.push_back(aQuotas.RegionIndex(upstream.mRegion));
       const auto local = static_cast<std::uint32_t>(
-        std::ranges::count(mRankedHolders, mRegions.back(), &CompactHolder::mRegion));
+        std::ranges::count(mRankedHolders, mRegions.back(), &HolderKey::mRegion));
       const auto open = aLimits.mUpstreamLimit - std::min(local, aLimits.mUpstreamLimit);
       mMinRemainingToKeepOpen.push_back(aLimits.mUsable -
                                         std::min(open, aLimits.mUsable));
@@ -105,7 +105,7 @@
   }
 
   /// Gives a connection that was taken to @p aHolder.
-  void Assign(const CompactHolder& aHolder, std::size_t aPosition, bool aIsKeptOpen)
+  void Assign(const HolderKey& aHolder, std::size_t aPosition, bool aIsKeptOpen)
   {
     mKeptOpen[aPosition] += aIsKeptOpen ? 1 : 0;
     if (aHolder.mIsSelf) {
@@ -166,7 +166,7 @@
 
   /// Whether the upstream at @p aPosition is in the region of @p aHolder or is the
   /// alternative of the holder with rank @p aRank in that region.
-  bool HasUpstream(const CompactHolder& aHolder, std::size_t aRank,
+  bool HasUpstream(const HolderKey& aHolder, std::size_t aRank,
                    std::size_t aPosition) const
   {
     const auto& positions = mRemoteUpstreams[aHolder.mRegion];
@@ -174,7 +174,7 @@
            positions[aRank % positions.size()] == aPosition;
   }
 
-  std::vector<CompactHolder> mRankedHolders;
+  std::vector<HolderKey> mRankedHolders;
   /// The region of each upstream, as a position in RegionalQuotas::mRegions.
   std::vector<std::size_t> mRegions;
   /// Unassigned connections of each upstream.
@@ -213,7 +213,7 @@
   return static_cast<std::size_t>(found - mRegions.begin());
 }
 
-std::vector<RegionalQuotas::CompactHolder>
+std::vector<RegionalQuotas::HolderKey>
 RegionalQuotas::RankHolders(const std::vector<RegionalUpstream>& aUpstreams) const
 {
   std::string_view key;
@@ -225,7 +225,7 @@
   for (auto& holder : ranked) {
     holder.mHash = MixedHash(holder.mHash, service);
   }
-  std::ranges::stable_sort(ranked, std::greater<>(), &CompactHolder::mHash);
+  std::ranges::stable_sort(ranked, std::greater<>(), &HolderKey::mHash);
   return ranked;
 }
 
@@ -237,7 +237,7 @@
     return std::vector<ConnectionQuota>(aUpstreams.size());
   }
   const auto equalQuota = aLimits.mUsable / static_cast<std::uint32_t>(mHolders.size());
-  if (equalQuota >= kAmpleQuotaPerVm) {
+  if (equalQuota >= kMinEqualQuota) {
     return std::vector<ConnectionQuota>(aUpstreams.size(), { equalQuota, true });
   }
   return QuotaDistribution(*this, aUpstreams, aLimits).Run();
--- a/src/wasabispar/gateway/service_pool.cpp
+++ b/src/wasabispar/gateway/service_pool.cpp
@@ -15,8 +15,9 @@
 /// Expected response times of an upstream before its first sample.
 constexpr Duration kInitialLocalLatency = std::chrono::milliseconds(15);
 constexpr Duration kInitialRemoteLatency = std::chrono::milliseconds(50);
-/// A second exchange for each slot keeps the slot busy while an answer is on its way.
-/// Deeper queues in the upstream are not used.
+/// Exchanges of this VM for each slot of an upstream: one that runs, and one that waits
+/// there, so that the slot stays busy while an answer is on its way. Further requests
+/// wait in the queue of this VM, which is ordered by priority.
 constexpr std::size_t kExchangesPerSlot = 2;
 
 /// The options of the connection pool of each upstream.
