Crash limit: try a request that crashed many upstreams at once with one copy

Ruled out: lost reports (each VM logs them all).

Change: three crashes of several services without a completion put the request on probation. The restriction is reported at once instead of up to 1.25 s later, so the caller's retry meets it.

--- a/include/wasabispar/gateway/gateway.hpp
+++ b/include/wasabispar/gateway/gateway.hpp
@@ -36,6 +36,8 @@
   std::uint64_t mMaxResponseBytes = 32 * 1024 * 1024;
   /// Limit on the upstreams that one request may crash.
   CrashLimiterOptions mCrashLimit;
+  /// Whether this VM may try a request again that crashed many upstreams. May be empty.
+  MayTryFn mMayTry;
   /// Called when an upstream announced in an answer that it leaves. Must report the
   /// change by Gateway::OnUpstreamChanges(), before it returns if it is to take effect at
   /// once.
@@ -121,6 +123,8 @@
   /// Maintains the pools, publishes crashes and counts dropped log lines.
   void Tick();
   void PublishCrashes(TimePoint aNow);
+  /// Logs a crash, and reports it at once if the other VMs must know it.
+  void OnCrash(const UpstreamCrash& aCrash);
   /// An answer of the upstream to this request announced that it leaves.
   void OnLeavingAnnounced(const Replica& aReplica, const CallerRequestId& aRequest);
   /// The answer of the upstream to this request asked for quiet; logs what it asked for.
@@ -154,6 +158,8 @@
   std::set<std::shared_ptr<ActiveRequest>> mActiveRequests;
   ReplicaLoad::ExchangeId mNextExchange = 1;
   Subscription mTickTimer;
+  /// Publishes an urgent report on crashes as soon as the crash was handled.
+  Subscription mCrashReportTimer;
 };
 
 } // namespace wasabispar
--- a/include/wasabispar/routing/crash_limiter.hpp
+++ b/include/wasabispar/routing/crash_limiter.hpp
@@ -74,6 +74,9 @@
   /// running on an upstream which crashed for another reason completes elsewhere in this
   /// time.
   Duration mReportDelay = std::chrono::seconds(1);
+  /// Time from the last loss until a request on probation is tried: the retries of the
+  /// attempt that was lost would meet the same failure.
+  Duration mTryDelay = std::chrono::milliseconds(100);
   /// Number of requests whose crashes are remembered.
   std::size_t mMaxRequests = 1000;
 };
@@ -85,11 +88,18 @@
   UpstreamIncarnation mUpstream;
   /// From the send of the request to the loss of its connection.
   Duration mRanFor{};
+  /// The other VMs must learn of the crash at once, see CrashLimiter::Tick().
+  bool mIsReportUrgent = false;
 };
 
 /// @brief Called with each crash that the VM observes.
 using UpstreamCrashFn = std::function<void(const UpstreamCrash&)>;
 
+/// @brief Whether this VM may try a request again that is on probation; see CrashLimiter.
+/// True at CrashLimiterOptions::mMaxCrashes VMs of the fleet at most, so that the copies
+/// of all VMs together stay within the limit.
+using MayTryFn = std::function<bool(RequestFingerprint)>;
+
 /// @brief Tracks on one VM which requests crashed upstreams. Not thread-safe.
 ///
 /// An upstream has crashed when it closed the connection of an exchange without an answer
@@ -100,6 +110,11 @@
 /// part in between, block all parts. A suspect that is not blocked is sent only as often
 /// at a time as upstreams may still crash. Requests are identified by a fingerprint,
 /// because each attempt of a caller has a request id of its own.
+///
+/// mMaxCrashes crashes of several services in one moment, without a completion, may have
+/// one common cause other than the request. Such a request is on probation: VMs that may
+/// try it send one copy of one part at a time. If that one crashes its upstream, all
+/// parts are blocked.
 class CrashLimiter
 {
 public:
@@ -107,7 +122,9 @@
   using ExchangeId = std::uint64_t;
 
   /// @param aOnCrash may be empty.
-  explicit CrashLimiter(CrashLimiterOptions aOptions = {}, UpstreamCrashFn aOnCrash = {});
+  /// @param aMayTry if empty, this VM may try each request.
+  explicit CrashLimiter(CrashLimiterOptions aOptions = {}, UpstreamCrashFn aOnCrash = {},
+                        MayTryFn aMayTry = {});
 
   /// @brief Whether one more copy of the part may be sent now.
   bool MaySend(const RequestPart& aPart, TimePoint aNow) const;
@@ -155,6 +172,15 @@
     /// Last completion of a part since the first of the exchanges was sent.
     std::optional<TimePoint> mCompletedAt;
   };
+  /// What crashes of upstreams of several services mean for all parts of a request. In
+  /// ascending order of severity.
+  enum class Restriction : std::uint8_t
+  {
+    None,
+    /// One copy of one part at a time is tried.
+    Probation,
+    Blocked,
+  };
   /// A request with which upstreams crashed.
   struct Suspect
   {
@@ -170,6 +196,8 @@
     /// Time of the first change that the other VMs were not told; empty if there is none.
     std::optional<TimePoint> mChangedAt;
     bool mWasPublished = false;
+    /// What the other VMs know, or are being told at once.
+    Restriction mPublished = Restriction::None;
   };
   using ExchangeMap = std::map<ExchangeId, Exchange>;
 
@@ -178,6 +206,17 @@
   static std::uint32_t PartCrashes(const Suspect& aSuspect, ServiceFingerprint aService);
   /// Successive crashes of all parts together; 0 if only one service had crashes.
   static std::uint32_t JointCrashes(const Suspect& aSuspect);
+  /// Crashes with upstreams of several services since the last completion of a part;
+  /// empty if only one service had crashes.
+  static RequestCrashes UncompletedCrashes(const Suspect& aSuspect);
+  Restriction RestrictionOf(const Suspect& aSuspect) const;
+  /// Whether this VM may try a request that is on probation at some time.
+  bool MayTry(RequestFingerprint aRequest) const;
+  /// Whether enough time has passed for it.
+  bool IsTryDue(const Suspect& aSuspect, TimePoint aNow) const;
+  /// Number of copies of all parts that run, or were lost without it being clear whether
+  /// the upstream crashed.
+  std::size_t RunningCopies(RequestFingerprint aRequest) const;
   static std::uint32_t MostCrashes(const Suspect& aSuspect);
   static void EraseCrashes(RequestCrashes& aCrashes, const RequestCompletion& aBefore);
   /// A part of a suspect completed at this VM.
@@ -197,6 +236,7 @@
 
   CrashLimiterOptions mOptions;
   UpstreamCrashFn mOnCrash;
+  MayTryFn mMayTry;
   /// Exchanges that run, or were lost without it being clear whether the upstream
   /// crashed.
   ExchangeMap mExchanges;
--- a/src/wasabispar/gateway/gateway.cpp
+++ b/src/wasabispar/gateway/gateway.cpp
@@ -173,12 +173,9 @@
   , mCallerProtocol(std::move(aCallers))
   , mUpstreamProtocol(std::move(aUpstreams))
   , mMetrics(aMetrics)
-  , mCrashLimiter(mOptions.mCrashLimit, [this](const UpstreamCrash& aCrash) {
-    const auto service = mServiceByUpstream.find(aCrash.mUpstream.mId);
-    LogCrash(aCrash,
-             service == mServiceByUpstream.end() ? ServiceName() : service->second);
-    mMetrics.mUpstreamCrashes.Increment();
-  })
+  , mCrashLimiter(
+      mOptions.mCrashLimit, [this](const UpstreamCrash& aCrash) { OnCrash(aCrash); },
+      mOptions.mMayTry)
 {
   mOptions.mPools.mResponseBudget =
     std::make_shared<ByteBudget>(mOptions.mMaxResponseBytes);
@@ -196,6 +193,18 @@
 
 Gateway::~Gateway() = default;
 
+void
+Gateway::OnCrash(const UpstreamCrash& aCrash)
+{
+  const auto service = mServiceByUpstream.find(aCrash.mUpstream.mId);
+  LogCrash(aCrash, service == mServiceByUpstream.end() ? ServiceName() : service->second);
+  mMetrics.mUpstreamCrashes.Increment();
+  if (aCrash.mIsReportUrgent) {
+    mCrashReportTimer =
+      mWorker.Timers().After(Duration{}, [this] { PublishCrashes(BootClock::now()); });
+  }
+}
+
 void
 Gateway::Tick()
 {
--- a/src/wasabispar/routing/crash_limiter.cpp
+++ b/src/wasabispar/routing/crash_limiter.cpp
@@ -7,9 +7,11 @@
 
 namespace wasabispar {
 
-CrashLimiter::CrashLimiter(CrashLimiterOptions aOptions, UpstreamCrashFn aOnCrash)
+CrashLimiter::CrashLimiter(CrashLimiterOptions aOptions, UpstreamCrashFn aOnCrash,
+                           MayTryFn aMayTry)
   : mOptions(aOptions)
   , mOnCrash(std::move(aOnCrash))
+  , mMayTry(std::move(aMayTry))
 {
 }
 
@@ -22,18 +24,55 @@
   }
   const auto limit = mOptions.mMaxCrashes;
   const auto part = PartCrashes(*suspect, aPart.mService);
+  const auto restriction = RestrictionOf(*suspect);
+  if (part >= limit || restriction == Restriction::Blocked) {
+    return false;
+  }
   const auto joint = JointCrashes(*suspect);
-  if (part >= limit || joint >= limit) {
+  const auto copies = RunningCopies(aPart.mRequest);
+  if (restriction == Restriction::Probation &&
+      (copies > 0 || !IsTryDue(*suspect, aNow) || !MayTry(aPart.mRequest))) {
     return false;
   }
-  const auto running = mRunning.find(aPart.mRequest);
-  const auto copies = running == mRunning.end() ? 0 : running->second.mExchanges;
   if (joint > 0 && joint + copies >= limit) {
     return false;
   }
   return part == 0 || part + RunningCopies(aPart) < limit;
 }
 
+CrashLimiter::Restriction
+CrashLimiter::RestrictionOf(const Suspect& aSuspect) const
+{
+  auto crashes = UncompletedCrashes(aSuspect);
+  if (CountSuccessiveCrashes(crashes) >= mOptions.mMaxCrashes) {
+    return Restriction::Blocked;
+  }
+  if (crashes.size() < mOptions.mMaxCrashes) {
+    return Restriction::None;
+  }
+  // Copies that were sent within mTryDelay of a loss met the same failure.
+  for (auto& crash : crashes) {
+    crash.mLostAt += mOptions.mTryDelay;
+  }
+  return CountSuccessiveCrashes(std::move(crashes)) > 1 ? Restriction::Blocked
+                                                        : Restriction::Probation;
+}
+
+bool
+CrashLimiter::MayTry(RequestFingerprint aRequest) const
+{
+  return !mMayTry || mMayTry(aRequest);
+}
+
+bool
+CrashLimiter::IsTryDue(const Suspect& aSuspect, TimePoint aNow) const
+{
+  const auto crashes = UncompletedCrashes(aSuspect);
+  return std::ranges::all_of(crashes, [this, aNow](const RequestCrash& aCrash) {
+    return aNow - aCrash.mLostAt >= mOptions.mTryDelay;
+  });
+}
+
 std::optional<TimePoint>
 CrashLimiter::BlockedUntil(const RequestPart& aPart, TimePoint aNow) const
 {
@@ -41,12 +80,13 @@
   if (!suspect) {
     return std::nullopt;
   }
-  const auto crashes =
-    std::max(PartCrashes(*suspect, aPart.mService), JointCrashes(*suspect));
-  if (crashes < mOptions.mMaxCrashes) {
-    return std::nullopt;
-  }
-  return suspect->mLastCrashAt + mOptions.mMemory;
+  const auto restriction = RestrictionOf(*suspect);
+  const bool isBlocked =
+    PartCrashes(*suspect, aPart.mService) >= mOptions.mMaxCrashes ||
+    restriction == Restriction::Blocked ||
+    (restriction == Restriction::Probation && !MayTry(aPart.mRequest));
+  return isBlocked ? std::optional(suspect->mLastCrashAt + mOptions.mMemory)
+                   : std::nullopt;
 }
 
 std::uint32_t
@@ -207,6 +247,7 @@
     return false;
   }
   return aSuspect.mObserved.empty() || MostCrashes(aSuspect) > 1 ||
+         RestrictionOf(aSuspect) != Restriction::None ||
          aNow - *aSuspect.mChangedAt >= mOptions.mReportDelay;
 }
 
@@ -248,6 +289,12 @@
 
 std::uint32_t
 CrashLimiter::JointCrashes(const Suspect& aSuspect)
+{
+  return CountSuccessiveCrashes(UncompletedCrashes(aSuspect));
+}
+
+RequestCrashes
+CrashLimiter::UncompletedCrashes(const Suspect& aSuspect)
 {
   auto crashes = AllCrashes(aSuspect);
   std::erase_if(crashes, [&aSuspect](const RequestCrash& aCrash) {
@@ -256,7 +303,7 @@
   const bool areSeveral = std::ranges::any_of(crashes, [&crashes](const auto& aCrash) {
     return aCrash.mService != crashes.front().mService;
   });
-  return areSeveral ? CountSuccessiveCrashes(std::move(crashes)) : 0;
+  return areSeveral ? crashes : RequestCrashes{};
 }
 
 std::uint32_t
@@ -284,6 +331,13 @@
     mExchanges, [&aPart](const auto& aItem) { return aItem.second.mPart == aPart; }));
 }
 
+std::size_t
+CrashLimiter::RunningCopies(RequestFingerprint aRequest) const
+{
+  const auto running = mRunning.find(aRequest);
+  return running == mRunning.end() ? 0 : running->second.mExchanges;
+}
+
 const CrashLimiter::Suspect*
 CrashLimiter::FindSuspect(RequestFingerprint aRequest, TimePoint aNow) const
 {
@@ -325,8 +379,11 @@
     std::max(suspect.mCompletedAt, mRunning[exchange.mPart.mRequest].mCompletedAt);
   suspect.mLastCrashAt = aNow;
   suspect.mChangedAt = suspect.mChangedAt.value_or(aNow);
+  const auto restriction = RestrictionOf(suspect);
+  const bool isUrgent = restriction > std::exchange(suspect.mPublished, restriction);
   if (mOnCrash) {
-    mOnCrash({ exchange.mPart.mRequest, exchange.mUpstream, lostAt - exchange.mSentAt });
+    mOnCrash({ exchange.mPart.mRequest, exchange.mUpstream, lostAt - exchange.mSentAt,
+               isUrgent });
   }
 }
 
--- a/src/wasabispar/routing/crash_limiter_fleet_test.cpp
+++ b/src/wasabispar/routing/crash_limiter_fleet_test.cpp
@@ -24,6 +24,8 @@
 constexpr Duration kTimeToCrash = 40ms;
 /// Time from a loss to the failed attempt to connect.
 constexpr Duration kProbeDelay = 60ms;
+/// Time from a send to its hedge.
+constexpr Duration kHedgeDelay = 30ms;
 /// Time in which an upstream that crashed is back.
 constexpr Duration kRestartTime = 1500ms;
 constexpr Duration kTickPeriod = 250ms;
@@ -42,40 +44,73 @@
   Split,
 };
 
+/// When a VM sends a part to the next upstream.
+enum class NextSend
+{
+  AfterLoss,
+  /// As a hedge, before the first copy is lost.
+  AfterDelay,
+};
+
 /// A fleet at whose VMs a caller sends a request again and again, which crashes each
 /// upstream that runs it.
 class CrashingFleet
 {
 public:
-  CrashingFleet(Target aTarget, int aShards, int aAttempts)
-    : mTarget(aTarget)
+  CrashingFleet(Target aTarget, int aShards, int aAttempts,
+                NextSend aNextSend = NextSend::AfterLoss, std::uint64_t aSeed = kSeed)
+    : mRandom(SeededRandom(aSeed))
+    , mTarget(aTarget)
     , mAttempts(aAttempts)
+    , mNextSend(aNextSend)
     , mUpAgainAt(static_cast<std::size_t>(aShards * kUpstreamsPerShard))
-    , mLimiters(kVms)
   {
     for (int vm = 0; vm < kVms; ++vm) {
+      mLimiters.push_back(MakeLimiter(vm));
       Schedule(kStart + vm * kTickPeriod / kVms, [this, vm] { Tick(vm); });
     }
   }
 
-  /// Sends the request @p aCount times to random VMs, one each @p aPeriod.
-  void Run(int aCount, Duration aPeriod)
+  /// Sends the request @p aCount times to random VMs, one each @p aPeriod. Its caller
+  /// retries each of them @p aRetryDelay later, if that is not zero.
+  void Run(int aCount, Duration aPeriod, Duration aRetryDelay = {})
   {
     for (int i = 0; i < aCount; ++i) {
-      Schedule(kStart + i * aPeriod, [this] { SendParts(Random(kVms)); });
+      const auto sentAt = kStart + i * aPeriod;
+      Schedule(sentAt, [this] { SendParts(Random(kVms)); });
+      if (aRetryDelay > Duration{}) {
+        Schedule(sentAt + aRetryDelay, [this] { SendParts(Random(kVms)); });
+      }
     }
-    const auto end = kStart + aCount * aPeriod + 1s;
-    while (mEvents.begin()->first < end) {
+    RunUntil(kStart + aCount * aPeriod + 1s);
+  }
+
+  int LateSends() const { return mLateSends; }
+  int Crashes() const { return mCrashes; }
+
+private:
+  void RunUntil(TimePoint aEnd)
+  {
+    while (mEvents.begin()->first < aEnd) {
       const auto event = mEvents.extract(mEvents.begin());
       mNow = event.key();
       event.mapped()();
     }
   }
 
-  int LateSends() const { return mLateSends; }
-  int Crashes() const { return mCrashes; }
+  /// The limiter of a VM. Three VMs may try a request that is on probation.
+  CrashLimiter MakeLimiter(int aVm)
+  {
+    return CrashLimiter(
+      {},
+      [this, aVm](const UpstreamCrash& aCrash) {
+        if (aCrash.mIsReportUrgent) {
+          Schedule(mNow, [this, aVm] { Report(aVm); });
+        }
+      },
+      [aVm](RequestFingerprint) { return aVm % 3 == 0; });
+  }
 
-private:
   void Schedule(TimePoint aAt, std::function<void()> aFn)
   {
     mEvents.emplace(aAt, std::move(aFn));
@@ -129,6 +164,9 @@
     limiter.OnSent(exchange, Part(aShard), Incarnation(upstream), mNow);
     Schedule(mNow + kTimeToCrash + Random(20) * 1ms,
              [=, this] { Crash(aVm, aShard, upstream, exchange, aAttemptsLeft); });
+    if (mNextSend == NextSend::AfterDelay) {
+      Schedule(mNow + kHedgeDelay, [=, this] { Send(aVm, aShard, aAttemptsLeft - 1); });
+    }
   }
 
   void Crash(int aVm, int aShard, int aUpstream, CrashLimiter::ExchangeId aExchange,
@@ -145,15 +183,22 @@
       mLimiters[static_cast<std::size_t>(aVm)].OnConnectFailed(Incarnation(aUpstream),
                                                                mNow);
     });
-    Send(aVm, aShard, aAttemptsLeft - 1);
+    if (mNextSend == NextSend::AfterLoss) {
+      Send(aVm, aShard, aAttemptsLeft - 1);
+    }
   }
 
   void Tick(int aVm)
+  {
+    Report(aVm);
+    Schedule(mNow + kTickPeriod, [=, this] { Tick(aVm); });
+  }
+
+  void Report(int aVm)
   {
     for (const auto& report : mLimiters[static_cast<std::size_t>(aVm)].Tick(mNow)) {
       Schedule(mNow + kReportTransit, [=, this] { Deliver(aVm, report); });
     }
-    Schedule(mNow + kTickPeriod, [=, this] { Tick(aVm); });
   }
 
   void Deliver(int aFrom, const RequestCrashReport& aReport)
@@ -171,9 +216,10 @@
     return { UpstreamId(std::to_string(aUpstream)), 1 };
   }
 
-  RandomFn mRandom = SeededRandom(kSeed);
+  RandomFn mRandom;
   Target mTarget;
   int mAttempts;
+  NextSend mNextSend;
   TimePoint mNow = kStart;
   std::multimap<TimePoint, std::function<void()>> mEvents;
   /// By upstream.
@@ -226,3 +272,20 @@
   CheckLateSends(Target::Split, 2);
   CheckLateSends(Target::Split, 5);
 }
+
+/// Guards against a fan-out whose first attempt crashes all shards in one moment, which
+/// counted as one crash, and that comes again, with its caller's retry, when no VM
+/// expects it any more.
+TEST_CASE("a fan-out that comes seldom and is retried at once is blocked in time")
+{
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    for (const auto retryDelay : { 30ms, 70ms, 150ms }) {
+      CAPTURE(seed);
+      CAPTURE(retryDelay.count());
+      CrashingFleet fleet(Target::FanOut, 10, 2, NextSend::AfterDelay, seed);
+      fleet.Run(10, 5400ms, retryDelay);
+      CHECK(fleet.Crashes() >= 3);
+      CHECK(fleet.LateSends() <= kMaxLateSends);
+    }
+  }
+}
--- a/src/wasabispar/routing/crash_limiter_test.cpp
+++ b/src/wasabispar/routing/crash_limiter_test.cpp
@@ -284,6 +284,45 @@
   CHECK(MaySend(kNow + 3s, thirdPart));
 }
 
+/// Guards against a fan-out that crashes many upstreams in one moment, which counts as
+/// one crash, and is sent again to several shards at several VMs.
+TEST_CASE("a request that crashed many upstreams at once is tried with one copy")
+{
+  for (const bool mayTry : { true, false }) {
+    std::size_t urgentReports = 0;
+    CrashLimiter limiter(
+      {},
+      [&urgentReports](const UpstreamCrash& aCrash) {
+        urgentReports += aCrash.mIsReportUrgent ? 1 : 0;
+      },
+      [mayTry](RequestFingerprint) { return mayTry; });
+    const auto part = [](int aNumber) {
+      return RequestPart{ kRequest.mRequest,
+                          ServiceFingerprint(static_cast<std::uint64_t>(aNumber)) };
+    };
+    for (int i = 1; i <= 6; ++i) {
+      limiter.OnSent(static_cast<CrashLimiter::ExchangeId>(i), part(i), Upstream(i),
+                     kNow);
+    }
+    for (int i = 1; i <= 6; ++i) {
+      limiter.OnLost(static_cast<CrashLimiter::ExchangeId>(i), kNow + 10ms);
+      limiter.OnConnectFailed(Upstream(i), kNow + 70ms);
+    }
+    const auto now = kNow + 5s;
+    CHECK(urgentReports == 1);
+    CHECK(limiter.SuccessiveCrashes(kRequest.mRequest, now) == 1);
+    CHECK(limiter.MaySend(part(1), now) == mayTry);
+    CHECK(limiter.BlockedUntil(part(1), now).has_value() == !mayTry);
+    limiter.OnSent(7, part(1), Upstream(7), now);
+    CHECK_FALSE(limiter.MaySend(part(2), now));
+    limiter.OnLost(7, now + 10ms);
+    limiter.OnConnectFailed(Upstream(7), now + 70ms);
+    CHECK_FALSE(limiter.MaySend(part(2), now + 1s));
+    CHECK(limiter.BlockedUntil(part(2), now + 1s));
+    CHECK(urgentReports == 2);
+  }
+}
+
 TEST_CASE_FIXTURE(LimiterFixture, "a completion at another VM clears the crashes before")
 {
   Crash(1);
