--- a/include/wasabispar/gateway/protocol.hpp
+++ b/include/wasabispar/gateway/protocol.hpp
@@ -92,6 +92,9 @@
   NotConfigured,
   /// No upstream can run the request in time; the request did not run.
   Unavailable,
+  /// No upstream in the regions in which the request may be served can run it; the
+  /// request did not run.
+  NoPermittedUpstream,
   /// Too many upstreams crashed while they ran the request; it was not sent again.
   Quarantined,
   /// The answer was lost; the request may have run.
@@ -101,7 +104,7 @@
 };
 
 /// @brief The name of a reason: `no-route`, `bad-request`, `not-configured`,
-/// `unavailable`, `quarantined`, `lost`, `timeout`.
+/// `unavailable`, `no-permitted-upstream`, `quarantined`, `lost`, `timeout`.
 std::string_view
 ToText(RefusalReason aReason);
 
--- a/include/wasabispar/gateway/service_pool.hpp
+++ b/include/wasabispar/gateway/service_pool.hpp
@@ -12,6 +12,7 @@
 #include "wasabispar/routing/crash_limiter.hpp"
 #include "wasabispar/routing/extra_load_window.hpp"
 #include "wasabispar/routing/placement.hpp"
+#include "wasabispar/routing/placement_scope.hpp"
 #include "wasabispar/routing/quiet_period.hpp"
 #include "wasabispar/routing/replica_load.hpp"
 #include "wasabispar/routing/request_interval.hpp"
@@ -32,6 +33,8 @@
 struct Replica
 {
   UpstreamRecord mRecord;
+  /// The region of the upstream; empty if it is unknown.
+  RegionId mRegion;
   /// Whether the upstream is in another region than this VM.
   bool mIsRemote = false;
   /// A response stated that another upstream has the address now.
@@ -96,6 +99,9 @@
 {
   /// Whether a data centre lies in another region than this VM.
   std::function<bool(const DataCentreId&)> mIsRemote;
+  /// The region of a data centre; empty if it is unknown. If the function is empty, all
+  /// regions are unknown.
+  std::function<RegionId(const DataCentreId&)> mRegionOf;
   /// Budget for extra sends to the service.
   ExtraLoadOptions mExtraLoad;
   /// The connection quotas of this VM for the given upstreams, in the same order. Each
@@ -155,31 +161,35 @@
 
   /// @brief A request, or a part of one, arrived for the service.
   void OnRequest(TimePoint aNow);
-  /// @brief Chooses the best usable upstream that is not among @p aTried.
-  PlacementResult Choose(const std::vector<UpstreamId>& aTried, TimePoint aNow) const;
-  /// @brief The lowest PlacementCost() of the usable upstreams that are not among
-  /// @p aTried, also of those at their limit of exchanges; empty when there is none.
-  std::optional<Duration> BestExpectedLatency(const std::vector<UpstreamId>& aTried,
+  /// @brief Chooses the best usable upstream in @p aScope.
+  PlacementResult Choose(const PlacementScope& aScope, TimePoint aNow) const;
+  /// @brief The lowest PlacementCost() of the usable upstreams in @p aScope, also of
+  /// those at their limit of exchanges; empty when there is none.
+  std::optional<Duration> BestExpectedLatency(const PlacementScope& aScope,
                                               TimePoint aNow) const;
-  /// @brief Number of usable upstreams that are reachable and to which this VM may
-  /// connect. Those that asked for quiet count.
-  std::size_t UsableCount() const;
-  /// @brief Time after which a caller should return if all usable upstreams asked for
-  /// quiet: until the first of them may get a request, and up to a quarter more at
-  /// random, so that the callers do not all return together. Empty otherwise.
-  std::optional<Duration> ReturnDelay(TimePoint aNow) const;
+  /// @brief Number of usable upstreams in @p aRegions that are reachable and to which
+  /// this VM may connect. Those that asked for quiet count.
+  std::size_t UsableCount(const PermittedRegions& aRegions) const;
+  /// @brief Time after which a caller should return if all usable upstreams in @p
+  /// aRegions asked for quiet: until the first of them may get a request, and up to a
+  /// quarter more at random, so that the callers do not all return together. Empty
+  /// otherwise.
+  std::optional<Duration> ReturnDelay(const PermittedRegions& aRegions,
+                                      TimePoint aNow) const;
   /// @brief The upstream asked to get nothing from this VM for @p aTime.
   void OnQuietRequested(Replica& aReplica, Duration aTime, TimePoint aNow);
   /// @brief An answer of the upstream names this limit, or none; returns whether the
   /// limit has changed. @p aSentAt is when the answered request was sent.
   bool OnRequestLimit(Replica& aReplica, std::optional<double> aPerSecond,
                       TimePoint aSentAt, TimePoint aNow);
-  /// @brief Whether each usable upstream limits the requests that it takes.
-  bool IsLimited() const;
-  /// @brief Expected time in the queue of a request that is added now. @p aAnswerBy is
-  /// the last time at which its answer is on time.
-  Duration ExpectedWait(std::uint32_t aPriority, TimePoint aAnswerBy,
-                        TimePoint aNow) const;
+  /// @brief Whether each usable upstream in @p aRegions limits the requests that it
+  /// takes.
+  bool IsLimited(const PermittedRegions& aRegions) const;
+  /// @brief Expected time in the queue of a request that is added now and may be served
+  /// in
+  /// @p aRegions. @p aAnswerBy is the last time at which its answer is on time.
+  Duration ExpectedWait(const PermittedRegions& aRegions, std::uint32_t aPriority,
+                        TimePoint aAnswerBy, TimePoint aNow) const;
 
   /// @brief Starts waiting requests as far as upstreams are free.
   void DispatchQueue();
@@ -193,11 +203,14 @@
   static void ApplyQuota(Replica& aReplica, const ConnectionQuota& aQuota);
   /// Starts waiting requests again when a limited upstream may get the next request.
   void DispatchLater(TimePoint aNow);
-  /// When the first of the usable upstreams may get a request by its request limit.
-  std::optional<TimePoint> NextSendAt(TimePoint aNow) const;
-  /// When the first of the usable upstreams may get a request, if all of them asked for
-  /// quiet; empty otherwise.
-  std::optional<TimePoint> QuietUntil(TimePoint aNow) const;
+  /// When the first of the usable upstreams in the regions may get a request by its
+  /// request limit.
+  std::optional<TimePoint> NextSendAt(const PermittedRegions& aRegions,
+                                      TimePoint aNow) const;
+  /// When the first of the usable upstreams in the regions may get a request, if all of
+  /// them asked for quiet; empty otherwise.
+  std::optional<TimePoint> QuietUntil(const PermittedRegions& aRegions,
+                                      TimePoint aNow) const;
   /// The callbacks of the connection pool of an upstream.
   ConnectionPoolHooks MakePoolHooks(const std::weak_ptr<Replica>& aReplica) const;
   /// Creates an upstream with its connection pool.
@@ -209,8 +222,9 @@
   void WithdrawQueued(Replica& aReplica);
   /// The upstream with this id; null when there is none.
   ReplicaPtr Find(const UpstreamId& aId) const;
-  /// The usable and reachable upstreams that are not among @p aTried.
-  std::vector<ReplicaCandidate> Candidates(const std::vector<UpstreamId>& aTried,
+  /// The usable and reachable upstreams in the scope. Each choice for a request is made
+  /// among them.
+  std::vector<ReplicaCandidate> Candidates(const PlacementScope& aScope,
                                            TimePoint aNow) const;
 
   boost::asio::io_context& mContext;
--- a/include/wasabispar/routing/route.hpp
+++ b/include/wasabispar/routing/route.hpp
@@ -5,6 +5,7 @@
 #include "wasabispar/base/clock.hpp"
 #include "wasabispar/base/ids.hpp"
 #include "wasabispar/base/units.hpp"
+#include "wasabispar/routing/permitted_regions.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -76,6 +77,8 @@
   Duration mObjective = std::chrono::seconds(1);
   /// Priority in the queue for upstreams; 0 is the most urgent.
   std::uint32_t mPriority = 0;
+  /// The regions in which requests may be served.
+  PermittedRegions mPermittedRegions;
 };
 
 /// @brief Settings of a service.
@@ -117,6 +120,8 @@
   const CallerLimits& Limits() const { return mLimits; }
   /// @brief Number of routes of all hosts.
   std::size_t RouteCount() const;
+  /// @brief Number of routes whose requests may not be served in all regions.
+  std::size_t RegionLimitedRouteCount() const;
 
 private:
   RouteTableVersion mVersion;
--- a/include/wasabispar/routing/wait_queue.hpp
+++ b/include/wasabispar/routing/wait_queue.hpp
@@ -20,9 +20,18 @@
   /// Tries to start the request; returns false when the request must stay in the queue.
   using StartFn = std::function<bool()>;
 
+  /// Which upstreams of the service may run a request.
+  enum class Reach : std::uint8_t
+  {
+    AllUpstreams,
+    /// Not all, so that others may start although it can't.
+    SomeUpstreams,
+  };
+
   /// @brief Adds a request. @p aPriority 0 is the most urgent; @p aAnswerBy is the last
   /// time at which an answer is on time.
-  EntryId Push(std::uint32_t aPriority, TimePoint aAnswerBy, StartFn aStart);
+  EntryId Push(std::uint32_t aPriority, TimePoint aAnswerBy, Reach aReach,
+               StartFn aStart);
   /// @brief Removes a waiting request; does nothing when the request is not in the queue.
   void Cancel(EntryId aId);
   /// @brief Starts requests from the head of the queue. Skips requests that can't start,
@@ -45,8 +54,14 @@
     auto operator<=>(const Key&) const = default;
   };
 
+  struct Entry
+  {
+    Reach mReach = Reach::AllUpstreams;
+    StartFn mStart;
+  };
+
   EntryId mNextId = 1;
-  std::map<Key, StartFn> mWaiting;
+  std::map<Key, Entry> mWaiting;
   /// Invariant: holds the key of each element of mWaiting.
   std::map<EntryId, Key> mKeysById;
   /// Dispatch() is running, so a nested call returns at once.
--- a/src/wasabispar/gateway/active_request.cpp
+++ b/src/wasabispar/gateway/active_request.cpp
@@ -77,6 +77,7 @@
   const auto fingerprint = FingerprintOf(mRequest);
   for (std::size_t i = 0; i < aServices.size(); ++i) {
     mParts[i].mServicePool = &mGateway.PoolOf(aServices[i]);
+    mParts[i].mScope.mRegions = aRoute.mPermittedRegions;
     mParts[i].mIdentity = { fingerprint,
                             ServiceFingerprint(HashText(aServices[i].Text())) };
   }
@@ -111,9 +112,11 @@
       continue;
     }
     const auto& pool = *mParts[i].mServicePool;
-    const auto expected = pool.BestExpectedLatency({}, aNow);
-    const auto wait = pool.ExpectedWait(mRoute.mPriority, mFanOutState.AnswerBy(), aNow);
-    if (!expected || aNow + wait >= LatestSend(pool, *expected)) {
+    const auto& scope = mParts[i].mScope;
+    const auto expected = pool.BestExpectedLatency(scope, aNow);
+    const auto wait =
+      pool.ExpectedWait(scope.mRegions, mRoute.mPriority, mFanOutState.AnswerBy(), aNow);
+    if (!expected || aNow + wait >= LatestSend(mParts[i], *expected)) {
       mTrace.Add(TraceStep::PartGivenUp, i, {}, ToMicroseconds(wait), aNow);
       mFanOutState.OnLost(i);
     }
@@ -124,10 +127,23 @@
 /// When all upstreams of a service limit their requests, those that would be late must
 /// not use up what others can be answered with in time.
 TimePoint
-ActiveRequest::LatestSend(const ServicePool& aPool, Duration aExpectedLatency) const
+ActiveRequest::LatestSend(const Part& aPart, Duration aExpectedLatency) const
 {
-  return aPool.IsLimited() ? mFanOutState.AnswerBy() - aExpectedLatency
-                           : mFanOutState.Deadline();
+  return aPart.mServicePool->IsLimited(aPart.mScope.mRegions)
+           ? mFanOutState.AnswerBy() - aExpectedLatency
+           : mFanOutState.Deadline();
+}
+
+void
+ActiveRequest::OnRoutesChanged(const RouteTable& aTable)
+{
+  const auto* route = aTable.Find(mRequest.mHost, mRequest.mHttpRequest.Path());
+  if (!route) {
+    return;
+  }
+  for (auto& part : mParts) {
+    part.mScope.mRegions = part.mScope.mRegions.Intersect(route->mPermittedRegions);
+  }
 }
 
 bool
--- a/src/wasabispar/gateway/active_request.hpp
+++ b/src/wasabispar/gateway/active_request.hpp
@@ -35,6 +35,9 @@
   /// @brief The caller closed its connection. Finishes without a response and aborts the
   /// running exchanges.
   void OnCallerDisconnected();
+  /// @brief A newer table is in effect. What is sent from now on keeps to the regions
+  /// that both the table of the request and the newer one permit.
+  void OnRoutesChanged(const RouteTable& aTable);
   /// @brief Refuses the request because the process exits.
   void Abort();
 
@@ -57,8 +60,8 @@
     ServicePool* mServicePool = nullptr;
     /// The same for each attempt of a caller.
     RequestPart mIdentity;
-    /// Upstreams to which the part was sent.
-    std::vector<UpstreamId> mTried;
+    /// The upstreams to which the part may still be sent.
+    PlacementScope mScope;
     std::vector<Exchange> mOpenExchanges;
     /// Number of upstreams that may have run or may still run the part.
     std::uint32_t mPossibleRunCount = 0;
@@ -79,7 +82,7 @@
   /// parts are left.
   bool AbandonUnservableParts(TimePoint aNow);
   /// Until when a part that arrives now must be sent; else it is abandoned at once.
-  TimePoint LatestSend(const ServicePool& aPool, Duration aExpectedLatency) const;
+  TimePoint LatestSend(const Part& aPart, Duration aExpectedLatency) const;
   /// Sends a part to the best upstream. Queues the part when all upstreams are busy or
   /// other requests are ahead, and abandons it when no upstream is left.
   void Launch(std::size_t aPart, TraceStep aStep);
@@ -141,6 +144,8 @@
   RefusalReason FailureReason() const;
   /// When the last blocked part may be sent again; empty if no part is blocked.
   std::optional<TimePoint> BlockedUntil(TimePoint aNow) const;
+  /// Whether a part has usable upstreams, but none in the permitted regions.
+  bool IsOutsideRegions() const;
   /// Whether an upstream may have run a part.
   bool MayHaveRun() const;
   /// Time after which all parts can be expected to find a free upstream.
--- a/src/wasabispar/gateway/active_request_end.cpp
+++ b/src/wasabispar/gateway/active_request_end.cpp
@@ -49,8 +49,20 @@
   if (MayHaveRun()) {
     return RefusalReason::Lost;
   }
-  return BlockedUntil(BootClock::now()) ? RefusalReason::Quarantined
-                                        : RefusalReason::Unavailable;
+  if (BlockedUntil(BootClock::now())) {
+    return RefusalReason::Quarantined;
+  }
+  return IsOutsideRegions() ? RefusalReason::NoPermittedUpstream
+                            : RefusalReason::Unavailable;
+}
+
+bool
+ActiveRequest::IsOutsideRegions() const
+{
+  return std::ranges::any_of(mParts, [](const Part& aPart) {
+    const auto& pool = *aPart.mServicePool;
+    return pool.UsableCount(aPart.mScope.mRegions) == 0 && pool.UsableCount({}) > 0;
+  });
 }
 
 std::optional<TimePoint>
@@ -83,7 +95,8 @@
   }
   Refusal refusal{ aReason, {} };
   const auto now = BootClock::now();
-  if (aReason == RefusalReason::Unavailable) {
+  if (aReason == RefusalReason::Unavailable ||
+      aReason == RefusalReason::NoPermittedUpstream) {
     refusal.mRetryAfter = RetryAfter(now);
   } else if (aReason == RefusalReason::Quarantined) {
     refusal.mRetryAfter = BlockedUntil(now).value_or(now) - now;
@@ -97,10 +110,12 @@
   auto after = kMinRetryAfter;
   std::optional<Duration> quiet;
   for (const auto& part : mParts) {
-    quiet = std::max(quiet, part.mServicePool->ReturnDelay(aNow));
-    const bool isDown = part.mServicePool->UsableCount() == 0;
+    const auto& pool = *part.mServicePool;
+    const auto& regions = part.mScope.mRegions;
+    quiet = std::max(quiet, pool.ReturnDelay(regions, aNow));
+    const bool isDown = pool.UsableCount(regions) == 0;
     const auto wait =
-      part.mServicePool->ExpectedWait(mRoute.mPriority, mFanOutState.AnswerBy(), aNow);
+      pool.ExpectedWait(regions, mRoute.mPriority, mFanOutState.AnswerBy(), aNow);
     after = std::max(after, isDown ? kMaxRetryAfter / 2 : wait);
   }
   return std::max(quiet.value_or(Duration::zero()), std::min(after, kMaxRetryAfter));
--- a/src/wasabispar/gateway/active_request_send.cpp
+++ b/src/wasabispar/gateway/active_request_send.cpp
@@ -23,7 +23,7 @@
     HoldOrAbandon(aPart, aStep, now);
     return;
   }
-  const auto placement = part.mServicePool->Choose(part.mTried, now);
+  const auto placement = part.mServicePool->Choose(part.mScope, now);
   switch (placement.mKind) {
     case PlacementResult::Kind::Found:
       // Requests that are ahead in the queue are sent first.
@@ -69,7 +69,7 @@
 void
 ActiveRequest::AbandonPart(std::size_t aPart, TimePoint aNow)
 {
-  mTrace.Add(TraceStep::PartGivenUp, aPart, {}, mParts[aPart].mTried.size(), aNow);
+  mTrace.Add(TraceStep::PartGivenUp, aPart, {}, mParts[aPart].mScope.mTried.size(), aNow);
   mFanOutState.OnLost(aPart);
 }
 
@@ -80,7 +80,9 @@
   auto& queue = part.mServicePool->Queue();
   const auto ahead = queue.CountAhead(mRoute.mPriority, mFanOutState.AnswerBy());
   mTrace.Add(TraceStep::Queued, aPart, {}, ahead, BootClock::now());
-  part.mQueueEntry = queue.Push(mRoute.mPriority, mFanOutState.AnswerBy(),
+  const auto reach = part.mScope.mRegions.AreAll() ? WaitQueue::Reach::AllUpstreams
+                                                   : WaitQueue::Reach::SomeUpstreams;
+  part.mQueueEntry = queue.Push(mRoute.mPriority, mFanOutState.AnswerBy(), reach,
                                 [weak = weak_from_this(), aPart, aStep] {
                                   const auto self = weak.lock();
                                   return !self || self->TryLaunch(aPart, aStep);
@@ -103,7 +105,7 @@
     ApplyDecision();
     return true;
   }
-  const auto placement = part.mServicePool->Choose(part.mTried, now);
+  const auto placement = part.mServicePool->Choose(part.mScope, now);
   if (placement.mKind == PlacementResult::Kind::Busy) {
     return false;
   }
@@ -153,7 +155,7 @@
    : aStep == TraceStep::Hedged ? metrics.mSentHedge
                                 : metrics.mSentRetry)
     .Increment();
-  part.mTried.push_back(aReplica->mRecord.mId);
+  part.mScope.mTried.push_back(aReplica->mRecord.mId);
   part.mOpenExchanges.push_back({ exchange, aReplica, now, false });
   ++part.mPossibleRunCount;
   PlanHedge(part, expected, now);
@@ -188,7 +190,9 @@
 ActiveRequest::MayStillSend(std::size_t aPart, ExchangeId aExchange,
                             const Replica& aReplica, TimePoint aNow)
 {
-  const bool takesRequests = aReplica.IsUsable() && !aReplica.mQuietPeriod.IsQuiet(aNow);
+  const bool takesRequests = aReplica.IsUsable() &&
+                             !aReplica.mQuietPeriod.IsQuiet(aNow) &&
+                             mParts[aPart].mScope.mRegions.Permits(aReplica.mRegion);
   if (!takesRequests || !IsCrashLimitKept(aPart, aNow)) {
     return false;
   }
@@ -205,7 +209,7 @@
     return;
   }
   if (const auto alternative =
-        aPart.mServicePool->BestExpectedLatency(aPart.mTried, aNow)) {
+        aPart.mServicePool->BestExpectedLatency(aPart.mScope, aNow)) {
     aPart.mHedgeAt =
       aNow + HedgeDelay(aExpected, *alternative, mFanOutState.AnswerBy() - aNow);
   }
@@ -219,7 +223,7 @@
   if (!IsCrashLimitKept(aPart, aNow)) {
     return;
   }
-  const auto placement = part.mServicePool->Choose(part.mTried, aNow);
+  const auto placement = part.mServicePool->Choose(part.mScope, aNow);
   if (placement.mKind == PlacementResult::Kind::Busy) {
     part.mHedgeAt = aNow + kHedgeRecheckDelay;
     return;
--- a/src/wasabispar/gateway/gateway.cpp
+++ b/src/wasabispar/gateway/gateway.cpp
@@ -54,6 +54,8 @@
       return "not-configured";
     case RefusalReason::Unavailable:
       return "unavailable";
+    case RefusalReason::NoPermittedUpstream:
+      return "no-permitted-upstream";
     case RefusalReason::Quarantined:
       return "quarantined";
     case RefusalReason::Lost:
@@ -386,6 +388,9 @@
     return false;
   }
   mRoutes = std::move(aTable);
+  for (const auto& request : mActiveRequests) {
+    request->OnRoutesChanged(*mRoutes);
+  }
   for (const auto& [name, pool] : mPools) {
     if (const auto* service = mRoutes->Service(name)) {
       pool->SetMaxConnections(service->mMaxConnections);
--- a/src/wasabispar/gateway/service_pool.cpp
+++ b/src/wasabispar/gateway/service_pool.cpp
@@ -45,12 +45,6 @@
   return std::min(rate, aLimit.Share().value_or(rate));
 }
 
-bool
-Contains(const std::vector<UpstreamId>& aIds, const UpstreamId& aId)
-{
-  return std::ranges::find(aIds, aId) != aIds.end();
-}
-
 } // namespace
 
 ServicePool::ServicePool(boost::asio::io_context& aContext, ServicePoolOptions aOptions)
@@ -198,6 +192,8 @@
     std::make_shared<Replica>(isRemote ? kInitialRemoteLatency : kInitialLocalLatency);
   replica->mRecord = aRecord;
   replica->mIsRemote = isRemote;
+  replica->mRegion =
+    mOptions.mRegionOf ? mOptions.mRegionOf(aRecord.mDataCentre) : RegionId();
   // The adapter has validated the address, so parsing does not fail.
   const auto endpoint =
     HandleError([&] { return Endpoint::Parse(aRecord.mAddress.Text()); },
@@ -259,7 +255,7 @@
 {
   /// Requests that become possible within this time are started together.
   constexpr Duration kMinDelay = std::chrono::milliseconds(2);
-  const auto next = NextSendAt(aNow);
+  const auto next = NextSendAt({}, aNow);
   if (!mOptions.mTimers || !next || *next <= aNow) {
     return;
   }
@@ -268,11 +264,12 @@
 }
 
 std::optional<TimePoint>
-ServicePool::NextSendAt(TimePoint aNow) const
+ServicePool::NextSendAt(const PermittedRegions& aRegions, TimePoint aNow) const
 {
   std::optional<TimePoint> next;
   for (const auto& replica : mReplicas) {
-    if (replica->IsUsable() && !replica->IsUnreachable()) {
+    if (replica->IsUsable() && !replica->IsUnreachable() &&
+        aRegions.Permits(replica->mRegion)) {
       const auto at = replica->mRequestLimit.NextSendAt(aNow);
       next = std::min(next.value_or(at), at);
     }
@@ -289,10 +286,11 @@
 }
 
 bool
-ServicePool::IsLimited() const
+ServicePool::IsLimited(const PermittedRegions& aRegions) const
 {
-  return std::ranges::all_of(mReplicas, [](const ReplicaPtr& aReplica) {
-    return !aReplica->IsUsable() || aReplica->mRequestLimit.IsLimited();
+  return std::ranges::all_of(mReplicas, [&aRegions](const ReplicaPtr& aReplica) {
+    return !aReplica->IsUsable() || !aRegions.Permits(aReplica->mRegion) ||
+           aReplica->mRequestLimit.IsLimited();
   });
 }
 
@@ -307,14 +305,14 @@
 }
 
 std::vector<ReplicaCandidate>
-ServicePool::Candidates(const std::vector<UpstreamId>& aTried, TimePoint aNow) const
+ServicePool::Candidates(const PlacementScope& aScope, TimePoint aNow) const
 {
   std::vector<ReplicaCandidate> candidates;
   for (std::size_t i = 0; i < mReplicas.size(); ++i) {
     const auto& replica = *mReplicas[i];
     const auto maxExchanges = replica.MaxExchanges(aNow);
     if (!replica.IsUsable() || maxExchanges == 0 || replica.IsUnreachable() ||
-        Contains(aTried, replica.mRecord.mId)) {
+        !aScope.Includes(replica.mRecord.mId, replica.mRegion)) {
       continue;
     }
     candidates.push_back({ i, replica.mLoad.ExpectedLatency(aNow),
@@ -327,9 +325,9 @@
 }
 
 PlacementResult
-ServicePool::Choose(const std::vector<UpstreamId>& aTried, TimePoint aNow) const
+ServicePool::Choose(const PlacementScope& aScope, TimePoint aNow) const
 {
-  const auto candidates = Candidates(aTried, aNow);
+  const auto candidates = Candidates(aScope, aNow);
   if (candidates.empty()) {
     return { PlacementResult::Kind::None, nullptr };
   }
@@ -341,11 +339,10 @@
 }
 
 std::optional<Duration>
-ServicePool::BestExpectedLatency(const std::vector<UpstreamId>& aTried,
-                                 TimePoint aNow) const
+ServicePool::BestExpectedLatency(const PlacementScope& aScope, TimePoint aNow) const
 {
   std::optional<Duration> best;
-  for (const auto& candidate : Candidates(aTried, aNow)) {
+  for (const auto& candidate : Candidates(aScope, aNow)) {
     const auto cost = PlacementCost(candidate);
     best = best ? std::min(*best, cost) : cost;
   }
@@ -353,21 +350,22 @@
 }
 
 std::size_t
-ServicePool::UsableCount() const
+ServicePool::UsableCount(const PermittedRegions& aRegions) const
 {
   return static_cast<std::size_t>(
-    std::ranges::count_if(mReplicas, [](const ReplicaPtr& aReplica) {
-      return aReplica->IsUsable() && aReplica->mMaxExchanges > 0 &&
-             !aReplica->IsUnreachable();
+    std::ranges::count_if(mReplicas, [&aRegions](const ReplicaPtr& aReplica) {
+      return aReplica->IsUsable() && aRegions.Permits(aReplica->mRegion) &&
+             aReplica->mMaxExchanges > 0 && !aReplica->IsUnreachable();
     }));
 }
 
 std::optional<TimePoint>
-ServicePool::QuietUntil(TimePoint aNow) const
+ServicePool::QuietUntil(const PermittedRegions& aRegions, TimePoint aNow) const
 {
   std::optional<TimePoint> first;
   for (const auto& replica : mReplicas) {
-    if (!replica->IsUsable() || replica->mMaxExchanges == 0) {
+    if (!replica->IsUsable() || replica->mMaxExchanges == 0 ||
+        !aRegions.Permits(replica->mRegion)) {
       continue;
     }
     if (!replica->mQuietPeriod.IsQuiet(aNow)) {
@@ -380,11 +378,11 @@
 }
 
 std::optional<Duration>
-ServicePool::ReturnDelay(TimePoint aNow) const
+ServicePool::ReturnDelay(const PermittedRegions& aRegions, TimePoint aNow) const
 {
   /// The part of the time by which it is extended at most.
   constexpr Duration::rep kSpreadDivisor = 4;
-  const auto until = QuietUntil(aNow);
+  const auto until = QuietUntil(aRegions, aNow);
   if (!until) {
     return std::nullopt;
   }
@@ -403,15 +401,15 @@
 }
 
 Duration
-ServicePool::ExpectedWait(std::uint32_t aPriority, TimePoint aAnswerBy,
-                          TimePoint aNow) const
+ServicePool::ExpectedWait(const PermittedRegions& aRegions, std::uint32_t aPriority,
+                          TimePoint aAnswerBy, TimePoint aNow) const
 {
   const auto ahead = mQueue.CountAhead(aPriority, aAnswerBy);
-  const auto candidates = Candidates({}, aNow);
+  const auto candidates = Candidates({ aRegions, {} }, aNow);
   const bool isAtLimit =
     !candidates.empty() &&
     std::ranges::all_of(candidates, &ReplicaCandidate::mIsAtRequestLimit);
-  const auto untilFirst = isAtLimit ? *NextSendAt(aNow) - aNow : Duration{};
+  const auto untilFirst = isAtLimit ? *NextSendAt(aRegions, aNow) - aNow : Duration{};
   double perSecond = 0;
   for (const auto& candidate : candidates) {
     perSecond += SendRate(candidate, mReplicas[candidate.mIndex]->mRequestLimit);
--- a/src/wasabispar/routing/route.cpp
+++ b/src/wasabispar/routing/route.cpp
@@ -68,6 +68,17 @@
   return found == mServices.end() ? nullptr : &found->second;
 }
 
+std::size_t
+RouteTable::RegionLimitedRouteCount() const
+{
+  std::size_t count = 0;
+  for (const auto& [host, routes] : mRoutesByHost) {
+    count += static_cast<std::size_t>(std::ranges::count_if(
+      routes, [](const Route& aRoute) { return !aRoute.mPermittedRegions.AreAll(); }));
+  }
+  return count;
+}
+
 std::size_t
 RouteTable::RouteCount() const
 {
--- a/src/wasabispar/routing/wait_queue.cpp
+++ b/src/wasabispar/routing/wait_queue.cpp
@@ -13,15 +13,18 @@
 /// tried all upstreams that are free, while a request behind it may still use one of
 /// them.
 constexpr std::size_t kMaxSkippedRequests = 4;
+/// The same for requests that some upstreams may not run, and which hold up no others.
+constexpr std::size_t kMaxSkippedLimitedRequests = 64;
 
 } // namespace
 
 WaitQueue::EntryId
-WaitQueue::Push(std::uint32_t aPriority, TimePoint aAnswerBy, StartFn aStart)
+WaitQueue::Push(std::uint32_t aPriority, TimePoint aAnswerBy, Reach aReach,
+                StartFn aStart)
 {
   const auto id = mNextId++;
   const Key key{ aPriority, aAnswerBy, id };
-  mWaiting.emplace(key, std::move(aStart));
+  mWaiting.emplace(key, Entry{ aReach, std::move(aStart) });
   mKeysById.emplace(id, key);
   return id;
 }
@@ -46,14 +49,16 @@
   }
   mIsDispatching = true;
   std::size_t skipped = 0;
+  std::size_t skippedLimited = 0;
   auto next = mWaiting.begin();
-  while (next != mWaiting.end() && skipped < kMaxSkippedRequests) {
+  while (next != mWaiting.end() && skipped < kMaxSkippedRequests &&
+         skippedLimited < kMaxSkippedLimitedRequests) {
     const auto key = next->first;
-    const auto start = next->second;
-    if (start()) {
+    const auto entry = next->second;
+    if (entry.mStart()) {
       Cancel(key.mId);
     } else {
-      ++skipped;
+      ++(entry.mReach == Reach::AllUpstreams ? skipped : skippedLimited);
     }
     next = mWaiting.upper_bound(key);
   }
--- a/src/wasabispar/routing/wait_queue_test.cpp
+++ b/src/wasabispar/routing/wait_queue_test.cpp
@@ -22,9 +22,10 @@
   std::size_t mFreeSlots = 0;
 
   WaitQueue::EntryId Push(char aName, std::uint32_t aPriority, Duration aAnswerBy,
-                          bool aCanStart = true)
+                          bool aCanStart = true,
+                          WaitQueue::Reach aReach = WaitQueue::Reach::AllUpstreams)
   {
-    return mQueue.Push(aPriority, kNow + aAnswerBy, [this, aName, aCanStart] {
+    return mQueue.Push(aPriority, kNow + aAnswerBy, aReach, [this, aName, aCanStart] {
       if (mFreeSlots == 0 || !aCanStart) {
         return false;
       }
@@ -49,6 +50,19 @@
   CHECK(fixture.mQueue.Length() == 1);
 }
 
+/// Guards against requests that wait for a busy region and hold up all others.
+TEST_CASE("many requests that only some upstreams may run hold up no others")
+{
+  Fixture fixture;
+  for (int i = 0; i < 20; ++i) {
+    fixture.Push('a', 1, 10ms, false, WaitQueue::Reach::SomeUpstreams);
+  }
+  fixture.Push('b', 1, 20ms);
+  fixture.mFreeSlots = 1;
+  fixture.mQueue.Dispatch();
+  CHECK(fixture.mStarted == "b");
+}
+
 TEST_CASE("a request that cannot start does not block those behind it")
 {
   Fixture fixture;
@@ -86,12 +100,13 @@
   WaitQueue queue;
   WaitQueue::EntryId second = 0;
   bool started = false;
-  queue.Push(1, kNow, [&] {
+  queue.Push(1, kNow, WaitQueue::Reach::AllUpstreams, [&] {
     queue.Cancel(second);
     queue.Dispatch();
     return true;
   });
-  second = queue.Push(1, kNow + 1ms, [&] { return started = true; });
+  second = queue.Push(1, kNow + 1ms, WaitQueue::Reach::AllUpstreams,
+                      [&] { return started = true; });
   queue.Dispatch();
   CHECK_FALSE(started);
   CHECK(queue.Length() == 0);
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -141,6 +141,7 @@
   record.mService = ServiceName(aService);
   record.mAddress = UpstreamAddress("127.0.0.1:" + std::to_string(mPort));
   record.mSlots = 2;
+  record.mDataCentre = DataCentreId(mDataCentre);
   return record;
 }
 
@@ -249,6 +250,9 @@
   GatewayOptions options;
   options.mPools.mConnectionQuotas = std::move(aQuotas);
   options.mPools.mIsRemote = [](const DataCentreId&) { return false; };
+  options.mPools.mRegionOf = [](const DataCentreId& aDataCentre) {
+    return RegionId(aDataCentre.Text());
+  };
   options.mPools.mExtraLoad.mReserve = 100;
   options.mOnLeavingAnnounced = [this](const UpstreamRecord& aRecord) {
     mGateway->OnUpstreamChanges(mDirectory.OnLeavingAnnounced(aRecord, BootClock::now()));
@@ -265,10 +269,12 @@
 }
 
 FakeUpstream&
-GatewayFixture::Add(const std::string& aService, const std::string& aId)
+GatewayFixture::Add(const std::string& aService, const std::string& aId,
+                    const std::string& aDataCentre)
 {
   OnWorker([&] {
     mUpstreams.push_back(std::make_unique<FakeUpstream>(mWorker, aId));
+    mUpstreams.back()->mDataCentre = aDataCentre;
     mGateway->OnUpstreamChanges(
       mDirectory.Upsert(mUpstreams.back()->Record(aService), Revision(++mRevision)));
   });
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -74,6 +74,8 @@
   std::vector<HttpHeader> mExtraHeaders;
   /// Time from a request to its answer.
   Duration mDelay{};
+  /// The data centre in the registry entry, which is also the region of the upstream.
+  std::string mDataCentre;
   std::string mBody = "body";
 
 private:
@@ -122,7 +124,8 @@
 
   /// @brief Adds an upstream of @p aService and waits until the gateway has processed the
   /// change.
-  FakeUpstream& Add(const std::string& aService, const std::string& aId);
+  FakeUpstream& Add(const std::string& aService, const std::string& aId,
+                    const std::string& aDataCentre = "");
   /// @brief Adds an upstream whose connections never open, because the backlog of its
   /// listener is full. Returns its registry entry.
   UpstreamRecord AddUnconnectable(const std::string& aService, const std::string& aId);
