Extra sends: round the budgets of the VMs at random instead of down

Cause: after a restart of all VMs a VM has sent a service one to four requests in its first seconds.

Change: each VM and service draws a threshold, so that the budgets of all VMs add up to the whole.

Measured: "the budgets of many VMs with few requests add up to the whole" is red without it (no extra send at one to four requests).

--- a/include/wasabispar/gateway/service_pool.hpp
+++ b/include/wasabispar/gateway/service_pool.hpp
@@ -235,9 +235,9 @@
   WaitQueue mQueue;
   ExtraLoadWindow mExtraLoad;
   RequestInterval mRequestInterval;
-  RandomFn mRandom;
   /// For DispatchLater().
   Subscription mDispatchTimer;
 };
+  RandomFn mRandom;
 
 } // namespace wasabispar
--- a/include/wasabispar/routing/extra_load_window.hpp
+++ b/include/wasabispar/routing/extra_load_window.hpp
@@ -32,13 +32,20 @@
 /// @brief Counts the requests and the extra sends (hedges and retries) of this VM to one
 /// service and grants extra sends within a budget. Not thread-safe.
 ///
-/// In any window the number of extra sends is at most mRatio x requests + mReserve.
-/// Because each VM keeps to its own budget, the whole fleet stays within its limit on
-/// extra load without messages between the VMs.
+/// In any window the number of extra sends is at most mRatio x requests + mReserve,
+/// rounded to a whole number. Because each VM keeps to its own budget, the whole fleet
+/// stays within its limit on extra load without messages between the VMs.
+///
+/// Load pattern: in a large fleet a VM sends a service one request a second. Right after
+/// a restart of all VMs, when most hedges and retries are needed, a budget that is
+/// rounded down allows none of them for the first seconds. Therefore each VM rounds at a
+/// threshold of its own: drawn at random, the budgets of all VMs add up to the whole.
 class ExtraLoadWindow
 {
 public:
-  explicit ExtraLoadWindow(ExtraLoadOptions aOptions = {});
+  /// @param aRounding the least fraction of a send that is rounded up to a whole one is
+  /// 1 - @p aRounding. From 0 to below 1; uniformly random for each VM and service.
+  explicit ExtraLoadWindow(ExtraLoadOptions aOptions = {}, double aRounding = 0);
 
   /// @brief Replaces the options; the counts of the current window are kept.
   void SetOptions(const ExtraLoadOptions& aOptions) { mOptions = aOptions; }
@@ -76,6 +83,7 @@
   void ExpireSlices(std::int64_t aNumber);
 
   ExtraLoadOptions mOptions;
+  double mRounding;
   /// Oldest first. Invariant: the three counts below are the sums over all slices.
   std::deque<Slice> mSlices;
   std::uint64_t mRequests = 0;
--- a/src/wasabispar/gateway/service_pool.cpp
+++ b/src/wasabispar/gateway/service_pool.cpp
@@ -35,6 +35,14 @@
 }
 
 /// Requests a second that this VM can send to an upstream.
+/// A random number from 0 to below 1.
+double
+RandomFraction(const RandomFn& aRandom)
+{
+  constexpr std::uint64_t kSteps = 1000;
+  return static_cast<double>(aRandom(kSteps)) / kSteps;
+}
+
 double
 SendRate(const ReplicaCandidate& aCandidate, const RequestLimit& aLimit)
 {
@@ -50,8 +58,8 @@
 ServicePool::ServicePool(boost::asio::io_context& aContext, ServicePoolOptions aOptions)
   : mContext(aContext)
   , mOptions(std::move(aOptions))
-  , mExtraLoad(mOptions.mExtraLoad)
   , mRandom(SeededRandom(EntropySeed()))
+  , mExtraLoad(mOptions.mExtraLoad, RandomFraction(mRandom))
 {
 }
 
--- a/src/wasabispar/routing/extra_load_window.cpp
+++ b/src/wasabispar/routing/extra_load_window.cpp
@@ -14,8 +14,9 @@
 
 } // namespace
 
-ExtraLoadWindow::ExtraLoadWindow(ExtraLoadOptions aOptions)
+ExtraLoadWindow::ExtraLoadWindow(ExtraLoadOptions aOptions, double aRounding)
   : mOptions(aOptions)
+  , mRounding(aRounding)
 {
 }
 
@@ -34,7 +35,7 @@
   const auto retryHeadroom = isHedge ? std::min(kMaxRetryHeadroomRatio * MaxExtraSends(),
                                                 static_cast<double>(mRetries))
                                      : 0;
-  if (left < 1 + retryHeadroom) {
+  if (left < 1 - mRounding + retryHeadroom) {
     return false;
   }
   auto& slice = CurrentSlice(aNow);
--- a/src/wasabispar/routing/extra_load_window_test.cpp
+++ b/src/wasabispar/routing/extra_load_window_test.cpp
@@ -2,9 +2,12 @@
 /// @brief Tests of the budget for extra sends.
 #include "wasabispar/routing/extra_load_window.hpp"
 
+#include "wasabispar/base/random.hpp"
+
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <cmath>
 #include <vector>
 
 using namespace wasabispar;
@@ -56,6 +59,38 @@
   CHECK_FALSE(window.TryTake(ExtraSend::Retry, now));
 }
 
+/// All VMs of a fleet have just restarted, and each has sent the service a few requests.
+/// Guards against budgets that are all rounded down, which leave a request of a VM
+/// without a hedge for seconds, and against budgets that are all rounded up.
+TEST_CASE("load pattern: the budgets of many VMs with few requests add up to the whole")
+{
+  const auto random = SeededRandom(20261206);
+  const TimePoint now{ 100s };
+  for (const int vms : { 89, 134, 195 }) {
+    for (const int requests : { 1, 2, 3, 4, 7 }) {
+      CAPTURE(vms);
+      CAPTURE(requests);
+      int extras = 0;
+      for (int vm = 0; vm < vms; ++vm) {
+        ExtraLoadWindow window({ 0.2, 0, 10s }, static_cast<double>(random(1000)) / 1000);
+        for (int i = 0; i < requests; ++i) {
+          window.OnRequest(now);
+        }
+        while (window.TryTake(ExtraSend::Retry, now)) {
+          ++extras;
+        }
+      }
+      // Each VM's rounding deviates by up to one send; four standard deviations of the
+      // sum.
+      const auto whole = 0.2 * requests * vms;
+      const auto deviation = 4 * std::sqrt(vms / 4.0);
+      CHECK(extras >= whole - deviation);
+      CHECK(extras <= whole + deviation);
+      CHECK(extras > 0);
+    }
+  }
+}
+
 /// The extra sends of each window of 10 s are at most the reserve plus 0.2 per request of
 /// that window.
 TEST_CASE("no window holds more extra sends than the budget")
