Connections: leave those of other regions alone while many upstreams refuse new ones

For 9 s the upstreams count the connections of the VMs that failed.

Change: ConnectionPressure, four upstreams that refused within 2 s. Under it a VM opens no connection to another region while its own has an upstream, does not try refused ones there again, and sends on a new connection only when a round trip has passed without a reset.

--- a/include/wasabispar/gateway/service_pool.hpp
+++ b/include/wasabispar/gateway/service_pool.hpp
@@ -9,6 +9,7 @@
 #include "wasabispar/base/timer_service.hpp"
 #include "wasabispar/fleet/regional_quota.hpp"
 #include "wasabispar/net/connection_pool.hpp"
+#include "wasabispar/routing/connection_pressure.hpp"
 #include "wasabispar/routing/crash_limiter.hpp"
 #include "wasabispar/routing/extra_load_window.hpp"
 #include "wasabispar/routing/placement.hpp"
@@ -118,6 +119,9 @@
   TimerService* mTimers = nullptr;
   /// Called when a connection to an upstream was opened, or could not be opened.
   std::function<void(const UpstreamIncarnation&, bool aIsOpened)> mOnConnectEnd;
+  /// Connections that upstreams of all services refused; null if the pool shall open
+  /// connections to other regions at any time.
+  std::shared_ptr<ConnectionPressure> mConnectionPressure;
   /// Bounds the answers of all services that are being read at the same time.
   std::shared_ptr<ByteBudget> mResponseBudget;
 };
@@ -222,6 +226,8 @@
   void WithdrawQueued(Replica& aReplica);
   /// The upstream with this id; null when there is none.
   ReplicaPtr Find(const UpstreamId& aId) const;
+  /// Whether connections to other regions are left to the VMs there.
+  bool IsUnderConnectionPressure(TimePoint aNow) const;
   /// The usable and reachable upstreams in the scope. Each choice for a request is made
   /// among them.
   std::vector<ReplicaCandidate> Candidates(const PlacementScope& aScope,
@@ -233,11 +239,11 @@
   std::uint32_t mMaxConnections = 1;
   std::vector<ReplicaPtr> mReplicas;
   WaitQueue mQueue;
+  RandomFn mRandom;
   ExtraLoadWindow mExtraLoad;
   RequestInterval mRequestInterval;
   /// For DispatchLater().
   Subscription mDispatchTimer;
 };
-  RandomFn mRandom;
 
 } // namespace wasabispar
--- a/include/wasabispar/net/connection_pool.hpp
+++ b/include/wasabispar/net/connection_pool.hpp
@@ -82,6 +82,13 @@
   /// Returns the number of connections to keep open without traffic. If empty, the pool
   /// uses ConnectionPoolOptions::mMinConnections.
   std::function<std::size_t()> mMinConnections;
+  /// Returns whether a connection that was refused is tried again although no request
+  /// needs it. If empty, it is.
+  std::function<bool()> mMayReopen;
+  /// Returns whether a new connection is used only after one more round trip, by which
+  /// time an upstream with too many connections has reset it: a request sent before may
+  /// have run. If empty, new connections are used at once.
+  std::function<bool()> mAwaitsAcceptance;
   /// Returns the maximum number of concurrent exchanges.
   std::function<std::uint32_t()> mSlotLimit;
   /// Called when a connection has been opened.
@@ -132,8 +139,9 @@
   void Abort(Handle aHandle);
   /// @brief Closes excess and timed-out connections, drops expired requests and opens
   /// connections up to the minimum. After a refusal it opens one connection even if the
-  /// minimum is 0, so that the requests of callers need not find out whether the upstream
-  /// accepts connections again. Call it every 50 to 250 ms.
+  /// minimum is 0, unless ConnectionPoolHooks::mMayReopen forbids it, so that the
+  /// requests of callers need not find out whether the upstream accepts connections
+  /// again. Call it every 50 to 250 ms.
   void Tick();
   /// @brief Opens a connection although no request needs it, to find out through
   /// mOnConnected or mOnConnectFailed whether the upstream still accepts connections. One
@@ -156,6 +164,7 @@
   {
     std::shared_ptr<HttpConnection> mHttp;
     std::uint64_t mId = 0;
+    TimePoint mOpeningSince{};
     TimePoint mOpenedAt{};
     TimePoint mIdleSince{};
     bool mHasAnswered = false;
@@ -205,6 +214,11 @@
   bool ShouldOpen() const;
   void OpenConnection();
   void OnOpened(PooledConnection aConnection, bool aOpened);
+  /// Uses the connection if the upstream has not reset it by the end of a round trip.
+  void AwaitAcceptance(PooledConnection aConnection);
+  void OnAcceptanceAwaited(PooledConnection aConnection);
+  /// Adds a new connection to the idle ones.
+  void AddIdle(PooledConnection aConnection);
   void OnPeerClosed(const PooledConnection& aConnection);
   void NoteAcceptedConnections();
   bool MustReopen() const;
--- a/src/wasabispar/gateway/gateway.cpp
+++ b/src/wasabispar/gateway/gateway.cpp
@@ -181,6 +181,7 @@
 {
   mOptions.mPools.mResponseBudget =
     std::make_shared<ByteBudget>(mOptions.mMaxResponseBytes);
+  mOptions.mPools.mConnectionPressure = std::make_shared<ConnectionPressure>();
   mOptions.mPools.mTimers = &mWorker.Timers();
   mOptions.mPools.mOnConnectEnd = [this](const UpstreamIncarnation& aUpstream,
                                          bool aIsOpened) {
--- a/src/wasabispar/gateway/service_pool.cpp
+++ b/src/wasabispar/gateway/service_pool.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace wasabispar {
@@ -34,7 +35,6 @@
   return options;
 }
 
-/// Requests a second that this VM can send to an upstream.
 /// A random number from 0 to below 1.
 double
 RandomFraction(const RandomFn& aRandom)
@@ -43,6 +43,7 @@
   return static_cast<double>(aRandom(kSteps)) / kSteps;
 }
 
+/// Requests a second that this VM can send to an upstream.
 double
 SendRate(const ReplicaCandidate& aCandidate, const RequestLimit& aLimit)
 {
@@ -163,9 +164,19 @@
     const auto self = weak.lock();
     return self ? static_cast<std::uint32_t>(self->mMaxExchanges) : 0;
   };
-  hooks.mMinConnections = [weak = aReplica]() -> std::size_t {
+  hooks.mAwaitsAcceptance = [pressure = mOptions.mConnectionPressure] {
+    return pressure && pressure->IsHigh(BootClock::now());
+  };
+  hooks.mMayReopen = [weak = aReplica, pressure = mOptions.mConnectionPressure] {
     const auto self = weak.lock();
-    return self ? std::min(self->mMinConnections, self->mMaxExchanges) : 0;
+    const bool isLeftToOthers =
+      self && self->mIsRemote && pressure && pressure->IsHigh(BootClock::now());
+    return !isLeftToOthers;
+  };
+  hooks.mMinConnections = [weak = aReplica,
+                           mayReopen = hooks.mMayReopen]() -> std::size_t {
+    const auto self = weak.lock();
+    return self && mayReopen() ? std::min(self->mMinConnections, self->mMaxExchanges) : 0;
   };
   const auto onConnectEnd = [weak = aReplica,
                              report = mOptions.mOnConnectEnd](bool aIsOpened) {
@@ -174,19 +185,27 @@
       report(self->Incarnation(), aIsOpened);
     }
   };
-  hooks.mOnRefused = [weak = aReplica] {
+  const auto onConnectFailed = [weak = aReplica] {
     if (const auto self = weak.lock()) {
       self->mLoad.OnConnectFailed(BootClock::now());
     }
   };
+  hooks.mOnRefused = [onConnectFailed, weak = aReplica,
+                      pressure = mOptions.mConnectionPressure] {
+    onConnectFailed();
+    const auto self = weak.lock();
+    if (self && pressure) {
+      pressure->OnRefused(self->mRecord.mId, BootClock::now());
+    }
+  };
   hooks.mOnConnected = [weak = aReplica, onConnectEnd] {
     if (const auto self = weak.lock()) {
       self->mLoad.OnConnected();
     }
     onConnectEnd(true);
   };
-  hooks.mOnConnectFailed = [onRefused = hooks.mOnRefused, onConnectEnd] {
-    onRefused();
+  hooks.mOnConnectFailed = [onConnectFailed, onConnectEnd] {
+    onConnectFailed();
     onConnectEnd(false);
   };
   return hooks;
@@ -329,9 +348,22 @@
                            replica.mLoad.IsAvoided(aNow), replica.mIsOverflow,
                            !replica.mRequestLimit.MaySend(aNow) });
   }
+  const bool hasLocal =
+    std::ranges::any_of(candidates, std::logical_not<>(), &ReplicaCandidate::mIsRemote);
+  if (hasLocal && IsUnderConnectionPressure(aNow)) {
+    std::erase_if(candidates, [this](const ReplicaCandidate& aCandidate) {
+      return aCandidate.mIsRemote && mReplicas[aCandidate.mIndex]->mConnections == 0;
+    });
+  }
   return candidates;
 }
 
+bool
+ServicePool::IsUnderConnectionPressure(TimePoint aNow) const
+{
+  return mOptions.mConnectionPressure && mOptions.mConnectionPressure->IsHigh(aNow);
+}
+
 PlacementResult
 ServicePool::Choose(const PlacementScope& aScope, TimePoint aNow) const
 {
--- a/src/wasabispar/net/connection_pool.cpp
+++ b/src/wasabispar/net/connection_pool.cpp
@@ -3,6 +3,9 @@
 /// connections.
 #include "wasabispar/net/connection_pool.hpp"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -14,6 +17,9 @@
 
 /// Shortest time between two probes that ignore the reconnect delay.
 constexpr Duration kMinProbeInterval = std::chrono::seconds(1);
+/// Bounds of the time in which an upstream resets a new connection.
+constexpr Duration kMinAcceptanceTime = std::chrono::milliseconds(2);
+constexpr Duration kMaxAcceptanceTime = std::chrono::milliseconds(60);
 
 } // namespace
 
@@ -299,6 +305,7 @@
   connection.mHttp = HttpConnection::Create(mContext, mEndpoint, mOptions.mResponseLimits,
                                             mOptions.mResponseBudget);
   connection.mId = mNextConnectionId++;
+  connection.mOpeningSince = mHooks.mNow();
   const auto http = connection.mHttp;
   http->Open(mOptions.mOpenTimeout,
              [weak = weak_from_this(),
@@ -312,15 +319,17 @@
 void
 ConnectionPool::OnOpened(PooledConnection aConnection, bool aOpened)
 {
-  --mOpeningCount;
   if (aOpened && !mIsStopped) {
     aConnection.mOpenedAt = mHooks.mNow();
-    aConnection.mIdleSince = aConnection.mOpenedAt;
-    mIdleConnections.push_back(std::move(aConnection));
     mHooks.mOnConnected();
-    ProcessQueue();
+    if (mHooks.mAwaitsAcceptance && mHooks.mAwaitsAcceptance()) {
+      AwaitAcceptance(std::move(aConnection));
+    } else {
+      AddIdle(std::move(aConnection));
+    }
     return;
   }
+  --mOpeningCount;
   aConnection.mHttp->Close();
   mHooks.mOnClosed();
   if (mIsStopped) {
@@ -333,6 +342,45 @@
   }
 }
 
+void
+ConnectionPool::AddIdle(PooledConnection aConnection)
+{
+  --mOpeningCount;
+  aConnection.mIdleSince = mHooks.mNow();
+  mIdleConnections.push_back(std::move(aConnection));
+  ProcessQueue();
+}
+
+void
+ConnectionPool::AwaitAcceptance(PooledConnection aConnection)
+{
+  const auto roundTrip = aConnection.mOpenedAt - aConnection.mOpeningSince;
+  const auto timer = std::make_shared<boost::asio::steady_timer>(mContext);
+  timer->expires_after(
+    std::clamp<Duration>(roundTrip, kMinAcceptanceTime, kMaxAcceptanceTime));
+  timer->async_wait([weak = weak_from_this(), timer, connection = std::move(aConnection)](
+                      boost::system::error_code) mutable {
+    if (const auto self = weak.lock()) {
+      self->OnAcceptanceAwaited(std::move(connection));
+    }
+  });
+}
+
+void
+ConnectionPool::OnAcceptanceAwaited(PooledConnection aConnection)
+{
+  if (!mIsStopped && aConnection.mHttp->IsStillOpen()) {
+    AddIdle(std::move(aConnection));
+    return;
+  }
+  --mOpeningCount;
+  aConnection.mHttp->Close();
+  mHooks.mOnClosed();
+  if (!mIsStopped) {
+    OnPeerClosed(aConnection);
+  }
+}
+
 void
 ConnectionPool::FailQueued(const std::string& aCause)
 {
@@ -423,7 +471,9 @@
 bool
 ConnectionPool::MustReopen() const
 {
-  const auto wanted = std::max<std::size_t>(MinConnections(), mBackoff.IsRefused());
+  const bool reopens =
+    mBackoff.IsRefused() && (!mHooks.mMayReopen || mHooks.mMayReopen());
+  const auto wanted = std::max<std::size_t>(MinConnections(), reopens ? 1 : 0);
   return ConnectionCount() < wanted && mOpeningCount == 0 &&
          mBackoff.MayOpen(mHooks.mNow());
 }
--- a/src/wasabispar/net/connection_pool_test.cpp
+++ b/src/wasabispar/net/connection_pool_test.cpp
@@ -28,6 +28,7 @@
   std::shared_ptr<ConnectionPool> mPool;
   std::uint32_t mReservedConnections = 0;
   int mFailedConnects = 0;
+  bool mAwaitsAcceptance = false;
   std::vector<Subscription> mTimers;
 
   Fixture()
@@ -67,6 +68,7 @@
     hooks.mExcessConnections = [] { return 0U; };
     hooks.mSlotLimit = [] { return 4U; };
     hooks.mMinConnections = [aMinConnections] { return aMinConnections; };
+    hooks.mAwaitsAcceptance = [this] { return mAwaitsAcceptance; };
     hooks.mOnConnected = [] {};
     hooks.mOnConnectFailed = [this] { ++mFailedConnects; };
     mPool = std::make_shared<ConnectionPool>(
@@ -222,6 +224,37 @@
   });
 }
 
+/// Guards against requests that count as possibly run although the upstream has reset
+/// their new connection, because it had too many.
+TEST_CASE_FIXTURE(Fixture, "nothing is sent on a new connection that is reset")
+{
+  mAwaitsAcceptance = true;
+  std::unique_ptr<ResettingListener> listener;
+  OnWorker([&] { listener = std::make_unique<ResettingListener>(mWorker); });
+  CreateFor(listener->Port(), 50ms, 0);
+  for (ConnectionPool::Handle handle = 1; handle <= 20; ++handle) {
+    std::promise<bool> mayHaveBeenSent;
+    OnWorker([&] {
+      PooledRequest request;
+      request.mDeadline = BootClock::now() + 2s;
+      request.mDone = [&mayHaveBeenSent](const HttpExchangeResult&, bool aMayHave) {
+        mayHaveBeenSent.set_value(aMayHave);
+      };
+      mPool->Submit(handle, std::move(request));
+    });
+    CHECK_FALSE(mayHaveBeenSent.get_future().get());
+  }
+  OnWorker([&] { listener->Close(); });
+}
+
+/// Guards against connections that are awaited for nothing: an accepted one is used.
+TEST_CASE_FIXTURE(Fixture, "a new connection that is not reset is used after a moment")
+{
+  mAwaitsAcceptance = true;
+  Create(150ms, 1);
+  RunExchanges(4, 1);
+}
+
 /// Guards against an upstream that is lost for good: nothing else opens a connection to
 /// it when the pool keeps none open and requests are sent elsewhere.
 TEST_CASE_FIXTURE(Fixture, "a pool without a minimum reopens after a refused connection")
