--- a/include/wasabispar/gateway/gateway.hpp
+++ b/include/wasabispar/gateway/gateway.hpp
@@ -81,6 +81,8 @@
   void CountQuietRequest(const ServiceName& aService);
   /// @brief Counts a change of the request limit that an upstream names.
   void CountRequestLimitChange(const ServiceName& aService);
+  /// @brief Counts a time at which many upstreams began to refuse connections.
+  void CountConnectionPressure();
   /// @brief Counts a finished exchange by the step that ended it.
   void CountExchange(TraceStep aStep);
 };
@@ -122,6 +124,8 @@
 
   /// Maintains the pools, publishes crashes and counts dropped log lines.
   void Tick();
+  /// Logs when many upstreams begin, or cease, to refuse connections.
+  void ReportConnectionPressure(TimePoint aNow);
   void PublishCrashes(TimePoint aNow);
   /// Logs a crash, and reports it at once if the other VMs must know it.
   void OnCrash(const UpstreamCrash& aCrash);
@@ -157,6 +161,8 @@
   std::map<RouteName, WeightedChoice> mSplitChoices;
   std::set<std::shared_ptr<ActiveRequest>> mActiveRequests;
   ReplicaLoad::ExchangeId mNextExchange = 1;
+  /// As last reported.
+  bool mIsUnderConnectionPressure = false;
   Subscription mTickTimer;
   /// Publishes an urgent report on crashes as soon as the crash was handled.
   Subscription mCrashReportTimer;
--- a/src/wasabispar/gateway/gateway.cpp
+++ b/src/wasabispar/gateway/gateway.cpp
@@ -215,6 +215,7 @@
     pool->Tick();
   }
   PublishCrashes(BootClock::now());
+  ReportConnectionPressure(BootClock::now());
   mMetrics.mTraceLinesDropped.Increment(static_cast<double>(mTraceLog.TakeDropped()));
 }
 
