--- a/src/wasabispar/gateway/gateway_pressure.cpp
+++ b/src/wasabispar/gateway/gateway_pressure.cpp
@@ -25,9 +25,10 @@
   mIsUnderConnectionPressure = isHigh;
   if (isHigh) {
     mMetrics.CountConnectionPressure();
+    LogEvent(LogLevel::Warning, "connection-pressure", {});
+  } else {
+    LogEvent(LogLevel::Info, "connection-pressure-ended", {});
   }
-  LogEvent(isHigh ? LogLevel::Warning : LogLevel::Info,
-           isHigh ? "connection-pressure" : "connection-pressure-ended", {});
 }
 
 } // namespace wasabispar
