--- /dev/null
+++ b/src/wasabispar/routing/evacuation_test.cpp
@@ -0,0 +1,139 @@
+/// @file
+/// @brief Tests of the order of evacuations, removals and full reads.
+#include "wasabispar/routing/evacuation.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <vector>
+
+using namespace wasabispar;
+
+namespace {
+
+const DataCentreId kA("a");
+const DataCentreId kB("b");
+
+/// A change of the key of one data centre; its revision is its position plus one.
+struct Change
+{
+  DataCentreId mDataCentre;
+  bool mIsWritten = false;
+};
+
+/// The keys of the store after the first @p aRevision changes.
+std::map<DataCentreId, Revision>
+KeysAt(const std::vector<Change>& aHistory, std::size_t aRevision)
+{
+  std::map<DataCentreId, Revision> keys;
+  for (std::size_t i = 0; i < aRevision; ++i) {
+    const auto& change = aHistory[i];
+    if (change.mIsWritten) {
+      keys[change.mDataCentre] = Revision(i + 1);
+    } else {
+      keys.erase(change.mDataCentre);
+    }
+  }
+  return keys;
+}
+
+} // namespace
+
+/// Guards against a late event that brings an evacuation back or ends it.
+TEST_CASE("an older event changes nothing, and each change is reported once")
+{
+  EvacuationState state;
+  CHECK(state.OnWritten(kA, Revision(5)));
+  CHECK_FALSE(state.OnWritten(kA, Revision(5)));
+  CHECK_FALSE(state.OnRemoved(kA, Revision(4)));
+  CHECK(state.IsEvacuated(kA));
+  CHECK_FALSE(state.OnWritten(kA, Revision(6)));
+  CHECK_FALSE(state.OnRemoved(kA, Revision(5)));
+  CHECK(state.OnRemoved(kA, Revision(7)));
+  CHECK_FALSE(state.OnWritten(kA, Revision(6)));
+  CHECK(state.Effective().empty());
+  CHECK_FALSE(state.OnRemoved(kB, Revision(9)));
+  CHECK_FALSE(state.OnWritten(kB, Revision(8)));
+}
+
+/// Guards against an evacuation that stays in force forever, because its removal was lost
+/// with the history of the store.
+TEST_CASE("a full read ends the evacuations that it does not contain")
+{
+  EvacuationState state;
+  CHECK(state.OnFullRead({ { kA, Revision(3) }, { kB, Revision(4) } }, Revision(5)));
+  CHECK(state.Effective() == std::set{ kA, kB });
+  CHECK_FALSE(
+    state.OnFullRead({ { kA, Revision(3) }, { kB, Revision(4) } }, Revision(6)));
+  CHECK(state.OnFullRead({ { kB, Revision(4) } }, Revision(8)));
+  CHECK(state.Effective() == std::set{ kB });
+  CHECK_FALSE(state.OnWritten(kA, Revision(8)));
+}
+
+/// Guards against pages of different age: one that lags behind an event does not undo it.
+TEST_CASE("a full read does not undo a newer event")
+{
+  EvacuationState state;
+  state.OnWritten(kA, Revision(9));
+  state.OnWritten(kB, Revision(4));
+  state.OnRemoved(kB, Revision(8));
+  CHECK_FALSE(state.OnFullRead({ { kB, Revision(4) } }, Revision(7)));
+  CHECK(state.Effective() == std::set{ kA });
+}
+
+/// Guards against any interleaving of events, pages of different age and full reads after
+/// which a VM sends to an evacuated data centre or spares one that is not.
+TEST_CASE("the state follows the store through torn reads and events in any order")
+{
+  rc::check([] {
+    const std::vector<DataCentreId> dataCentres{ kA, kB, DataCentreId("c") };
+    std::vector<Change> history;
+    for (auto left = *rc::gen::inRange(1, 12); left > 0; --left) {
+      history.push_back(
+        { *rc::gen::elementOf(dataCentres), *rc::gen::arbitrary<bool>() });
+    }
+    EvacuationState state;
+    std::size_t followed = 0;
+    while (followed < history.size()) {
+      if (*rc::gen::arbitrary<bool>()) {
+        // Each key is read from a page of its own age; the watch continues after the
+        // oldest page.
+        const auto lowest = *rc::gen::inRange(followed, history.size() + 1);
+        std::map<DataCentreId, Revision> read;
+        for (const auto& dataCentre : dataCentres) {
+          const auto page =
+            KeysAt(history, *rc::gen::inRange(lowest, history.size() + 1));
+          if (const auto key = page.find(dataCentre); key != page.end()) {
+            read.insert(*key);
+          }
+        }
+        state.OnFullRead(read, Revision(lowest));
+        followed = lowest;
+      }
+      // The events of one answer, in any order and with some that are already known. At
+      // least one is new, so that the loop ends when rapidcheck shrinks all values.
+      const auto end =
+        *rc::gen::inRange(std::min(followed + 1, history.size()), history.size() + 1);
+      const auto begin = *rc::gen::inRange<std::size_t>(0, followed + 1);
+      std::vector<std::size_t> events;
+      for (auto i = begin; i < end; ++i) {
+        events.push_back(i);
+        std::swap(events.back(),
+                  events[*rc::gen::inRange<std::size_t>(0, events.size())]);
+      }
+      for (const auto i : events) {
+        const auto& change = history[i];
+        const auto before = state.Effective();
+        const bool hasChanged = change.mIsWritten
+                                  ? state.OnWritten(change.mDataCentre, Revision(i + 1))
+                                  : state.OnRemoved(change.mDataCentre, Revision(i + 1));
+        RC_ASSERT(hasChanged == (state.Effective() != before));
+      }
+      followed = std::max(followed, end);
+    }
+    const auto keys = KeysAt(history, history.size());
+    for (const auto& dataCentre : dataCentres) {
+      RC_ASSERT(state.IsEvacuated(dataCentre) == keys.contains(dataCentre));
+    }
+  });
+}
