Gateway: send nothing more to evacuated data centres

Cause: there was no way to stop the requests to the upstreams of a data centre.

Change: Gateway::SetEvacuated marks the upstreams in all pools, also those that are added later, as not usable. Requests that wait there for a connection are withdrawn and placed again, a withdrawn copy beside a running one is replaced by a hedge, waiting requests without an upstream are refused at once, idle connections are closed and none is opened. The end is recorded for each upstream. Without a call nothing changes.

--- a/include/wasabispar/gateway/gateway.hpp
+++ b/include/wasabispar/gateway/gateway.hpp
@@ -81,6 +81,8 @@
   void CountQuietRequest(const ServiceName& aService);
   /// @brief Counts a change of the request limit that an upstream names.
   void CountRequestLimitChange(const ServiceName& aService);
+  /// @brief Sets whether a data centre is evacuated.
+  void SetEvacuated(const DataCentreId& aDataCentre, bool aIsEvacuated);
   /// @brief Counts a finished exchange by the step that ended it.
   void CountExchange(TraceStep aStep);
 };
@@ -103,6 +105,10 @@
   bool SetRoutes(RouteTablePtr aTable);
   /// @brief Updates the pools of the services.
   void OnUpstreamChanges(const UpstreamDirectory::Changes& aChanges);
+  /// @brief Sends nothing more to the upstreams of these data centres, also to those that
+  /// are added later, until a call without them. Requests that wait there for a
+  /// connection are placed again; running ones finish.
+  void SetEvacuated(const std::set<DataCentreId>& aDataCentres);
   /// @brief Takes account of the upstreams that crashed at another VM with a request.
   void OnCrashReport(const VmId& aVm, const RequestCrashReport& aReport);
   /// @brief Replaces the budget for extra sends of all services.
@@ -134,6 +140,8 @@
   /// end; logs a change. @p aSentAt is when the answered request was sent.
   void OnRequestLimit(ServicePool& aPool, Replica& aReplica, const UpstreamReply& aReply,
                       TimePoint aSentAt);
+  /// Logs the start or end of the evacuation of a data centre.
+  void ReportEvacuation(const DataCentreId& aDataCentre, bool aIsEvacuated);
   /// The pool of a service; created when there is none.
   ServicePool& PoolOf(const ServiceName& aService);
   /// Refuses a request that was not routed; @p aRequest is null when it is malformed.
@@ -152,6 +160,7 @@
   /// Null until the first SetRoutes().
   RouteTablePtr mRoutes;
   std::map<ServiceName, std::unique_ptr<ServicePool>> mPools;
+  std::set<DataCentreId> mEvacuated;
   /// The service under which an upstream is registered in mPools.
   std::map<UpstreamId, ServiceName> mServiceByUpstream;
   std::map<RouteName, WeightedChoice> mSplitChoices;
--- a/include/wasabispar/gateway/service_pool.hpp
+++ b/include/wasabispar/gateway/service_pool.hpp
@@ -24,6 +24,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace wasabispar {
@@ -39,6 +40,10 @@
   bool mIsRemote = false;
   /// A response stated that another upstream has the address now.
   bool mIsMisaddressed = false;
+  /// The data centre of the upstream is evacuated.
+  bool mIsEvacuated = false;
+  /// When the last evacuation ended that this VM has observed; empty if there was none.
+  std::optional<TimePoint> mEvacuationEndedAt;
   /// Maximum number of exchanges, and of connections, of this VM with the upstream. 0
   /// when the connections are all assigned to other VMs.
   std::size_t mMaxExchanges = 1;
@@ -71,12 +76,12 @@
   /// @brief Whether the upstream accepts new requests.
   bool IsUsable() const
   {
-    return mRecord.mState == UpstreamState::Serving && !mIsMisaddressed;
+    return mRecord.mState == UpstreamState::Serving && !mIsMisaddressed && !mIsEvacuated;
   }
   /// @brief Number of connections that should be closed.
   std::size_t ExcessConnections() const
   {
-    const auto kept = mIsOverflow ? mLoad.InFlight() : mMaxExchanges;
+    const auto kept = mIsOverflow || mIsEvacuated ? mLoad.InFlight() : mMaxExchanges;
     return mConnections > kept ? mConnections - kept : 0;
   }
   /// @brief Number of exchanges that may run at @p aNow at the same time.
@@ -155,6 +160,11 @@
   /// @brief Adds, updates, replaces or removes an upstream. An added one has no quota
   /// until UpdateQuotas() is called; returns whether that is necessary.
   [[nodiscard]] bool OnChange(const UpstreamChange& aChange);
+  /// @brief Marks the upstreams of these data centres, also those that are added later,
+  /// as evacuated and all others as not evacuated. Does not start waiting requests.
+  void SetEvacuated(const std::set<DataCentreId>& aDataCentres);
+  /// @brief Number of upstreams in a data centre.
+  std::size_t CountIn(const DataCentreId& aDataCentre) const;
   /// @brief Opens and closes connections and starts waiting requests. To be called
   /// periodically.
   void Tick();
@@ -220,6 +230,8 @@
   /// Withdraws the requests that wait for a connection to the upstream, so that they are
   /// placed again.
   void WithdrawQueued(Replica& aReplica);
+  /// Updates the mark of an upstream from mEvacuated.
+  void MarkEvacuated(Replica& aReplica);
   /// The upstream with this id; null when there is none.
   ReplicaPtr Find(const UpstreamId& aId) const;
   /// The usable and reachable upstreams in the scope. Each choice for a request is made
@@ -232,6 +244,7 @@
   /// Connections that one upstream accepts from all VMs together.
   std::uint32_t mMaxConnections = 1;
   std::vector<ReplicaPtr> mReplicas;
+  std::set<DataCentreId> mEvacuated;
   WaitQueue mQueue;
   ExtraLoadWindow mExtraLoad;
   RequestInterval mRequestInterval;
--- a/src/wasabispar/gateway/active_request.cpp
+++ b/src/wasabispar/gateway/active_request.cpp
@@ -219,6 +219,7 @@
       LeaveQueue(part);
       mFanOutState.OnAnswered(aPart);
     } else {
+      ReplaceWithdrawn(part, end, *exchange.mReplica, now);
       RetryOrAbandon(aPart, end, now);
     }
   }
--- a/src/wasabispar/gateway/active_request.hpp
+++ b/src/wasabispar/gateway/active_request.hpp
@@ -38,6 +38,9 @@
   /// @brief A newer table is in effect. What is sent from now on keeps to the regions
   /// that both the table of the request and the newer one permit.
   void OnRoutesChanged(const RouteTable& aTable);
+  /// @brief Upstreams were evacuated. Abandons the queued parts that no upstream is left
+  /// for.
+  void OnEvacuation();
   /// @brief Refuses the request because the process exits.
   void Abort();
 
@@ -113,6 +116,10 @@
   /// Sets mHedgeAt if the part may be hedged. @p aExpected is the expected response time
   /// of the upstream to which the part was just sent.
   void PlanHedge(Part& aPart, Duration aExpected, TimePoint aNow);
+  /// Plans an immediate hedge if a copy of the part was withdrawn from an evacuated
+  /// upstream while another one runs.
+  void ReplaceWithdrawn(Part& aPart, TraceStep aEnd, const Replica& aReplica,
+                        TimePoint aNow);
   /// Sends the part to another upstream if one is free and the budget allows it.
   void Hedge(std::size_t aPart, TimePoint aNow);
   /// A connection was assigned to the exchange.
--- a/src/wasabispar/gateway/gateway.cpp
+++ b/src/wasabispar/gateway/gateway.cpp
@@ -405,6 +405,7 @@
   auto& pool = mPools[aService];
   if (!pool) {
     pool = std::make_unique<ServicePool>(mWorker.Context(), mOptions.mPools);
+    pool->SetEvacuated(mEvacuated);
     const auto* service = mRoutes ? mRoutes->Service(aService) : nullptr;
     if (service) {
       pool->SetMaxConnections(service->mMaxConnections);
--- a/src/wasabispar/gateway/service_pool.cpp
+++ b/src/wasabispar/gateway/service_pool.cpp
@@ -117,6 +117,7 @@
   }
   if (existing && aChange.mKind != UpstreamChange::Kind::Replaced) {
     existing->mRecord = aChange.mRecord;
+    MarkEvacuated(*existing);
     if (!existing->IsUsable()) {
       WithdrawQueued(*existing);
     }
@@ -136,7 +137,7 @@
   hooks.mNow = [] { return BootClock::now(); };
   hooks.mTryReserveConnection = [weak = aReplica] {
     const auto self = weak.lock();
-    if (!self || self->mConnections >= self->mMaxExchanges) {
+    if (!self || self->mIsEvacuated || self->mConnections >= self->mMaxExchanges) {
       return false;
     }
     ++self->mConnections;
@@ -157,7 +158,9 @@
   };
   hooks.mMinConnections = [weak = aReplica]() -> std::size_t {
     const auto self = weak.lock();
-    return self ? std::min(self->mMinConnections, self->mMaxExchanges) : 0;
+    return self && !self->mIsEvacuated
+             ? std::min(self->mMinConnections, self->mMaxExchanges)
+             : 0;
   };
   const auto onConnectEnd = [weak = aReplica,
                              report = mOptions.mOnConnectEnd](bool aIsOpened) {
@@ -194,6 +197,7 @@
   replica->mIsRemote = isRemote;
   replica->mRegion =
     mOptions.mRegionOf ? mOptions.mRegionOf(aRecord.mDataCentre) : RegionId();
+  replica->mIsEvacuated = mEvacuated.contains(aRecord.mDataCentre);
   // The adapter has validated the address, so parsing does not fail.
   const auto endpoint =
     HandleError([&] { return Endpoint::Parse(aRecord.mAddress.Text()); },
@@ -234,7 +238,8 @@
 ServicePool::Tick()
 {
   for (const auto& replica : mReplicas) {
-    if (replica->IsUsable()) {
+    // The tick of an evacuated upstream closes its idle connections and opens none.
+    if (replica->IsUsable() || replica->mIsEvacuated) {
       replica->mConnectionPool->Tick();
     }
   }
