--- a/tests/gateway/evacuation_test.cpp
+++ b/tests/gateway/evacuation_test.cpp
@@ -286,3 +286,25 @@
   Evacuate({});
   CHECK(Eventually([this] { return mNorth.OpenConnections() == 1; }));
 }
+
+/// Guards against a connection that is opened to an evacuated upstream to find out
+/// whether it has crashed.
+TEST_CASE_FIXTURE(TwoDataCentres, "a lost exchange opens no connection")
+{
+  Evacuate({ "south" });
+  OnWorker([this] { mNorth.mBehaviour = FakeBehaviour::Silent; });
+  auto answer = Send("/once/1", 2s);
+  REQUIRE(Eventually([this] { return mNorth.Requests() == 1; }));
+  Evacuate({ "north", "south" });
+  OnWorker([this] {
+    mNorth.Kill();
+    mNorth.Restart();
+  });
+  CHECK(answer.get().mResponse.mBody == "lost");
+  std::size_t connections = 0;
+  for (int i = 0; i < 15; ++i) {
+    std::this_thread::sleep_for(10ms);
+    OnWorker([&] { connections += mNorth.OpenConnections(); });
+  }
+  CHECK(connections == 0);
+}
