--- a/src/wasabispar/gateway/service_pool.cpp
+++ b/src/wasabispar/gateway/service_pool.cpp
@@ -126,6 +126,7 @@
   }
   if (existing && aChange.mKind != UpstreamChange::Kind::Replaced) {
     existing->mRecord = aChange.mRecord;
+    MarkEvacuated(*existing);
     if (!existing->IsUsable()) {
       WithdrawQueued(*existing);
     }
@@ -145,7 +146,7 @@
   hooks.mNow = [] { return BootClock::now(); };
   hooks.mTryReserveConnection = [weak = aReplica] {
     const auto self = weak.lock();
-    if (!self || self->mConnections >= self->mMaxExchanges) {
+    if (!self || self->mIsEvacuated || self->mConnections >= self->mMaxExchanges) {
       return false;
     }
     ++self->mConnections;
@@ -171,7 +172,7 @@
     const auto self = weak.lock();
     const bool isLeftToOthers =
       self && self->mIsRemote && pressure && pressure->IsHigh(BootClock::now());
-    return !isLeftToOthers;
+    return self && !self->mIsEvacuated && !isLeftToOthers;
   };
   hooks.mMinConnections = [weak = aReplica,
                            mayReopen = hooks.mMayReopen]() -> std::size_t {
@@ -221,6 +222,7 @@
   replica->mIsRemote = isRemote;
   replica->mRegion =
     mOptions.mRegionOf ? mOptions.mRegionOf(aRecord.mDataCentre) : RegionId();
+  replica->mIsEvacuated = mEvacuated.contains(aRecord.mDataCentre);
   // The adapter has validated the address, so parsing does not fail.
   const auto endpoint =
     HandleError([&] { return Endpoint::Parse(aRecord.mAddress.Text()); },
@@ -261,7 +263,8 @@
 ServicePool::Tick()
 {
   for (const auto& replica : mReplicas) {
-    if (replica->IsUsable()) {
+    // The tick of an evacuated upstream closes its idle connections and opens none.
+    if (replica->IsUsable() || replica->mIsEvacuated) {
       replica->mConnectionPool->Tick();
     }
   }
