Limits over all VMs: few VMs hold a share, in whole requests

Cause: RequestLimit gives each VM limit / VMs and at least one saved request. With 89 VMs and limits of 5 to 60 requests per second, all VMs sent 89 and more within a second; a VM that sees fewer members takes a larger share.

Change: FleetRateShare deals a limit out in whole requests to the VMs of best rank for the upstream. Views that differ never give out more than the limit as long as each contains all VMs that send. RequestLimit uses it with more VMs than requests per second; VMs without a share probe now and then. ColdState and ColdLimit follow one cold upstream.

Tests: 200 VMs, 12 upstreams that return cold under 2.5 times the load, limit 17 per second: at most 17 in any second (with a request at each VM always), 12 or 13 at the load itself, while VMs join, are lost, or the fleet is split at 100, 80 and 30.

--- /dev/null
+++ b/include/wasabispar/routing/cold_limit.hpp
@@ -0,0 +1,71 @@
+/// @file
+/// @brief The requests that this VM may send to one cold upstream.
+#pragma once
+
+#include "wasabispar/base/clock.hpp"
+#include "wasabispar/base/ids.hpp"
+#include "wasabispar/routing/fleet_rate_share.hpp"
+#include "wasabispar/routing/rate_window.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <set>
+
+namespace wasabispar {
+
+/// @brief Settings of ColdLimit.
+struct ColdLimitOptions
+{
+  /// Added to the window of the share: how much the time from the check before the first
+  /// byte to the arrival at the upstream varies. A small VM may lose its processor for
+  /// 100 ms, and links between regions differ by 14 ms.
+  Duration mTransitVariation = std::chrono::milliseconds(200);
+};
+
+/// @brief Counts the requests to one upstream: reserved when an upstream is chosen, sent
+/// when the first byte may be written. Not thread-safe.
+///
+/// Invariant: while the upstream is cold, the requests sent within the window of the
+/// share are at most those of the share, also if reserved ones start at the same time.
+class ColdLimit
+{
+public:
+  using ExchangeId = std::uint64_t;
+
+  explicit ColdLimit(ColdLimitOptions aOptions = {})
+    : mOptions(aOptions)
+  {
+  }
+
+  /// @brief This VM's share of @p aPerSecond at @p aUpstream, none if @p aFleet is null.
+  /// Computed again only if an argument has changed.
+  RateShare ShareOf(const FleetRateSharePtr& aFleet, const UpstreamId& aUpstream,
+                    double aPerSecond);
+  /// @brief When a request may be reserved: @p aNow if one may be reserved now; empty if
+  /// the share, or what is left of it beyond the reserved requests, allows none.
+  std::optional<TimePoint> NextSendAt(const RateShare& aShare, TimePoint aNow) const;
+  /// @brief The upstream was chosen for an exchange.
+  void Reserve(ExchangeId aExchange);
+  /// @brief The first byte is about to be written to the cold upstream. Returns false if
+  /// the share no longer allows it; the exchange then gives its reservation back.
+  bool Start(ExchangeId aExchange, const RateShare& aShare, TimePoint aNow);
+  /// @brief The same for an upstream that is not cold, whose requests are only counted:
+  /// it may become cold within the window.
+  void StartUnlimited(ExchangeId aExchange, TimePoint aNow);
+  /// @brief The exchange has ended or was withdrawn.
+  void Release(ExchangeId aExchange);
+
+private:
+  RateShare WithVariation(const RateShare& aShare) const;
+
+  ColdLimitOptions mOptions;
+  RateWindow mWindow;
+  /// Exchanges whose first byte has not been written.
+  std::set<ExchangeId> mReserved;
+  /// The arguments and the result of the last ShareOf().
+  FleetRateSharePtr mFleet;
+  double mPerSecond = 0;
+  RateShare mShare;
+};
+
+} // namespace wasabispar
--- a/include/wasabispar/routing/request_limit.hpp
+++ b/include/wasabispar/routing/request_limit.hpp
@@ -4,7 +4,10 @@
 #pragma once
 
 #include "wasabispar/base/clock.hpp"
+#include "wasabispar/base/ids.hpp"
 #include "wasabispar/base/random.hpp"
+#include "wasabispar/routing/fleet_rate_share.hpp"
+#include "wasabispar/routing/rate_window.hpp"
 
 #include <cstddef>
 #include <optional>
@@ -22,11 +25,36 @@
   Duration mBurstTime = std::chrono::milliseconds(250);
 };
 
-/// @brief Follows the limit that one upstream names and gives this VM an equal share of
-/// it. Not thread-safe.
+/// @brief How a limit is divided among the VMs.
+struct LimitDivision
+{
+  /// Number of VMs that share the limit, at least 1.
+  std::size_t mVms = 1;
+  /// This VM's whole requests if there are more VMs than the limit has requests per
+  /// second; empty if all VMs have equal shares.
+  std::optional<RateShare> mShare;
+  /// If mShare has no request: the period in which this VM may send one, to learn whether
+  /// the limit has ended.
+  Duration mProbePeriod{};
+
+  bool operator==(const LimitDivision&) const = default;
+};
+
+/// @brief Divides the limit @p aPerSecond of an upstream. With more VMs than requests per
+/// second, some VMs share three quarters of the limit in whole requests, and the others
+/// together probe at up to an eighth of it.
+/// @param aFleet null if this VM has no share.
+/// @param aVms number of VMs, at least 1.
+LimitDivision
+DivideLimit(const FleetRateSharePtr& aFleet, std::size_t aVms,
+            const UpstreamId& aUpstream, double aPerSecond);
+
+/// @brief Follows the limit that one upstream names and gives this VM a share of it. Not
+/// thread-safe.
 ///
-/// Invariant: in any time T, this VM sends at most its share of T and of mBurstTime, and
-/// one request more.
+/// Invariant: with equal shares, this VM sends in any time T at most its share of T and
+/// of mBurstTime, and one request more; with whole requests, at most those of its share
+/// in any window of it.
 class RequestLimit
 {
 public:
@@ -43,6 +71,13 @@
   /// @return whether the limit has changed.
   bool OnAnswer(std::optional<double> aPerSecond, std::size_t aVms, TimePoint aSentAt,
                 TimePoint aNow, const RandomFn& aRandom);
+  /// @brief The same with any division of the limit.
+  bool OnAnswer(std::optional<double> aPerSecond, const LimitDivision& aDivision,
+                TimePoint aSentAt, TimePoint aNow, const RandomFn& aRandom);
+  /// @brief The VMs have changed. Has no effect if the shares were and stay equal: those
+  /// follow the next answer.
+  void SetDivision(const LimitDivision& aDivision, TimePoint aNow,
+                   const RandomFn& aRandom);
   /// @brief A request is sent.
   void OnSent(TimePoint aNow);
   /// @brief A request that OnSent() counted was not sent after all.
@@ -62,10 +97,16 @@
 private:
   /// Requests that may be sent at @p aNow, with a fraction.
   double SavedAt(TimePoint aNow) const;
+  /// When this VM, which has no whole request, may probe the upstream.
+  TimePoint NextProbeAt(TimePoint aNow) const;
 
   RequestLimitOptions mOptions;
   std::optional<double> mLimit;
-  std::size_t mVms = 1;
+  LimitDivision mDivision;
+  /// The requests of whole shares.
+  RateWindow mWindow;
+  /// Begin of the first probe time, random within a probe period.
+  TimePoint mFirstProbeAt{};
   /// When an answer named a limit for the last time after one that named none.
   TimePoint mNamedAt{};
   /// Requests that may be sent, at mSavedTime.
--- a/include/wasabispar/routing/route.hpp
+++ b/include/wasabispar/routing/route.hpp
@@ -5,6 +5,7 @@
 #include "wasabispar/base/clock.hpp"
 #include "wasabispar/base/ids.hpp"
 #include "wasabispar/base/units.hpp"
+#include "wasabispar/routing/cold_state.hpp"
 #include "wasabispar/routing/permitted_regions.hpp"
 
 #include <cstddef>
@@ -87,6 +88,8 @@
   ServiceName mName;
   /// Connections that one upstream of the service accepts from all its clients together.
   std::uint32_t mMaxConnections = 1;
+  /// The limit on cold upstreams of the service.
+  ColdBound mColdBound{};
 };
 
 /// @brief Limits on the size and the duration of callers' requests.
@@ -122,6 +125,8 @@
   std::size_t RouteCount() const;
   /// @brief Number of routes whose requests may not be served in all regions.
   std::size_t RegionLimitedRouteCount() const;
+  /// @brief Whether a service limits the requests to cold upstreams.
+  bool HasColdBounds() const;
 
 private:
   RouteTableVersion mVersion;
--- a/include/wasabispar/routing/upstream_directory.hpp
+++ b/include/wasabispar/routing/upstream_directory.hpp
@@ -26,6 +26,18 @@
   Draining,
 };
 
+/// @brief An entry's statement that its upstream is cold.
+struct WarmupNotice
+{
+  /// How much longer the upstream stays cold, from the receipt of the entry.
+  Duration mLeft{};
+  /// The revision of the entry: an upstream that becomes cold again may state the same
+  /// time again.
+  Revision mRevision;
+
+  bool operator==(const WarmupNotice&) const = default;
+};
+
 /// @brief The registry's entry of one upstream.
 struct UpstreamRecord
 {
@@ -39,6 +51,8 @@
   /// Unix time in milliseconds at which the upstream started; a new value means a new
   /// incarnation. 0 when the entry has no start time.
   std::uint64_t mStartedUnixMs = 0;
+  /// Empty if the upstream is not cold, or if no service limits requests to cold ones.
+  std::optional<WarmupNotice> mWarmup{};
 
   bool operator==(const UpstreamRecord&) const = default;
 };
--- a/src/wasabispar/routing/request_limit.cpp
+++ b/src/wasabispar/routing/request_limit.cpp
@@ -1,14 +1,57 @@
 /// @file
-/// @brief A token bucket with the VM's share of an upstream's limit.
+/// @brief A token bucket with the VM's equal share of an upstream's limit, or a window
+/// with its whole requests.
 #include "wasabispar/routing/request_limit.hpp"
 
 #include <algorithm>
 
 namespace wasabispar {
 
+namespace {
+
+/// The part of a limit that is dealt out in whole requests. The rest covers the probes.
+constexpr double kDealtRatio = 0.75;
+/// The part of a limit that the probes of all VMs without a request may use.
+constexpr double kProbeRatio = 0.125;
+/// A longer period would let a VM learn too late that a limit has ended.
+constexpr Duration kMaxProbePeriod = std::chrono::minutes(2);
+/// For how long in each period a probe may be sent. Unused ones are not saved up, because
+/// the VMs would send them all at once when the load rises.
+constexpr Duration kProbeTime = std::chrono::seconds(1);
+
+/// Time for which a request is kept in the window: longer than the window of the lowest
+/// limit.
+constexpr Duration kKept = std::chrono::seconds(5);
+
+} // namespace
+
+LimitDivision
+DivideLimit(const FleetRateSharePtr& aFleet, std::size_t aVms,
+            const UpstreamId& aUpstream, double aPerSecond)
+{
+  const auto perSecond = std::max(aPerSecond, RequestLimitOptions().mMinLimit);
+  if (static_cast<double>(aVms) <= perSecond) {
+    return { aVms, {}, {} };
+  }
+  const auto dealt = perSecond < 1 ? perSecond : std::max(1.0, perSecond * kDealtRatio);
+  const auto holders = std::min<std::size_t>(aVms, WholeRequests(dealt));
+  const std::chrono::duration<double> period(static_cast<double>(aVms - holders) /
+                                             (perSecond * kProbeRatio));
+  return { aVms, aFleet ? aFleet->ShareOf(aUpstream, dealt) : RateShare{},
+           std::clamp(std::chrono::duration_cast<Duration>(period), 2 * kProbeTime,
+                      kMaxProbePeriod) };
+}
+
 bool
 RequestLimit::OnAnswer(std::optional<double> aPerSecond, std::size_t aVms,
                        TimePoint aSentAt, TimePoint aNow, const RandomFn& aRandom)
+{
+  return OnAnswer(aPerSecond, LimitDivision{ aVms, {}, {} }, aSentAt, aNow, aRandom);
+}
+
+bool
+RequestLimit::OnAnswer(std::optional<double> aPerSecond, const LimitDivision& aDivision,
+                       TimePoint aSentAt, TimePoint aNow, const RandomFn& aRandom)
 {
   if (!aPerSecond) {
     // The answer may have been on its way when another one named the limit.
@@ -26,10 +69,34 @@
   mSavedTime = aNow;
   mNamedAt = isNew ? aNow : mNamedAt;
   mLimit = limit;
-  mVms = std::max<std::size_t>(1, aVms);
+  if (isNew) {
+    mDivision = {};
+  }
+  const bool isEqual = !aDivision.mShare && !mDivision.mShare;
+  if (isEqual) {
+    mDivision = aDivision;
+    mDivision.mVms = std::max<std::size_t>(1, aDivision.mVms);
+  } else {
+    SetDivision(aDivision, aNow, aRandom);
+  }
   return hasChanged;
 }
 
+void
+RequestLimit::SetDivision(const LimitDivision& aDivision, TimePoint aNow,
+                          const RandomFn& aRandom)
+{
+  const bool isEqual = !aDivision.mShare && !mDivision.mShare;
+  if (!mLimit || isEqual || aDivision == mDivision) {
+    return;
+  }
+  if (aDivision.mProbePeriod != mDivision.mProbePeriod) {
+    const auto period = static_cast<std::uint64_t>(aDivision.mProbePeriod.count());
+    mFirstProbeAt = aNow + Duration(static_cast<Duration::rep>(aRandom(period + 1)));
+  }
+  mDivision = aDivision;
+}
+
 void
 RequestLimit::OnSent(TimePoint aNow)
 {
@@ -38,18 +105,33 @@
   }
   mSaved = SavedAt(aNow) - 1;
   mSavedTime = aNow;
+  if (mDivision.mShare) {
+    mWindow.OnSent(aNow, kKept);
+  }
 }
 
 void
 RequestLimit::OnWithdrawn()
 {
-  mSaved += mLimit ? 1 : 0;
+  if (mLimit) {
+    mSaved += 1;
+    mWindow.OnWithdrawn();
+  }
 }
 
 std::optional<double>
 RequestLimit::Share() const
 {
-  return mLimit ? std::optional(*mLimit / static_cast<double>(mVms)) : std::nullopt;
+  if (!mLimit) {
+    return std::nullopt;
+  }
+  const auto& whole = mDivision.mShare;
+  if (!whole) {
+    return *mLimit / static_cast<double>(mDivision.mVms);
+  }
+  return whole->mRequests > 0
+           ? whole->PerSecond()
+           : 1 / std::chrono::duration<double>(mDivision.mProbePeriod).count();
 }
 
 TimePoint
@@ -58,6 +140,10 @@
   if (!mLimit) {
     return aNow;
   }
+  if (const auto& whole = mDivision.mShare) {
+    return whole->mRequests > 0 ? *mWindow.NextSendAt(*whole, 0, aNow)
+                                : NextProbeAt(aNow);
+  }
   const auto missing = 1 - SavedAt(aNow);
   if (missing <= 0) {
     return aNow;
@@ -66,6 +152,19 @@
          std::chrono::ceil<Duration>(std::chrono::duration<double>(missing / *Share()));
 }
 
+TimePoint
+RequestLimit::NextProbeAt(TimePoint aNow) const
+{
+  if (aNow < mFirstProbeAt) {
+    return mFirstProbeAt;
+  }
+  const auto passed = (aNow - mFirstProbeAt) % mDivision.mProbePeriod;
+  const auto begin = aNow - passed;
+  const auto last = mWindow.LastSentAt();
+  const bool isUsed = last && *last >= begin;
+  return passed < kProbeTime && !isUsed ? aNow : begin + mDivision.mProbePeriod;
+}
+
 double
 RequestLimit::SavedAt(TimePoint aNow) const
 {
