Gateway: keep cold upstreams to the limit of their service

Cause: an upstream that starts or returns cold got as many requests as a warm one: in the tests, 20 of 40 at once where 5 per second are sustained.

Change: a cold upstream whose share is used up counts as at its request limit. Chosen requests are reserved and counted when the first byte may be sent, also retries and hedges; one that ends unsent is given back. What could only be late is refused at once, also from the queue. Sources: the entry, a response, a new incarnation, the end of an evacuation (Gateway::OnEvacuationEnded), and an outage of the upstream alone, since its entry may be read 2.2 s after a restart. Cold times outlast an entry that lapses.

--- a/include/wasabispar/gateway/gateway.hpp
+++ b/include/wasabispar/gateway/gateway.hpp
@@ -81,6 +81,11 @@
   void CountQuietRequest(const ServiceName& aService);
   /// @brief Counts a change of the request limit that an upstream names.
   void CountRequestLimitChange(const ServiceName& aService);
+  /// @brief Counts an upstream that has become cold.
+  void CountCold(const ServiceName& aService);
+  /// @brief Counts a request that was withdrawn right before its first byte, because the
+  /// upstream had become cold.
+  void CountColdWithdrawal(const ServiceName& aService);
   /// @brief Counts a finished exchange by the step that ended it.
   void CountExchange(TraceStep aStep);
 };
@@ -105,6 +110,9 @@
   void OnUpstreamChanges(const UpstreamDirectory::Changes& aChanges);
   /// @brief Takes account of the upstreams that crashed at another VM with a request.
   void OnCrashReport(const VmId& aVm, const RequestCrashReport& aReport);
+  /// @brief The evacuation of a data centre has ended; see
+  /// ServicePool::OnEvacuationEnded().
+  void OnEvacuationEnded(const DataCentreId& aDataCentre);
   /// @brief Replaces the budget for extra sends of all services.
   void SetExtraLoad(const ExtraLoadOptions& aOptions);
   /// @brief Reads the connection quotas of all upstreams again.
@@ -134,6 +142,13 @@
   /// end; logs a change. @p aSentAt is when the answered request was sent.
   void OnRequestLimit(ServicePool& aPool, Replica& aReplica, const UpstreamReply& aReply,
                       TimePoint aSentAt);
+  /// A connection to an upstream was opened, or could not be opened.
+  void OnConnectEnd(const UpstreamIncarnation& aUpstream, bool aIsOpened);
+  /// Takes account of the cold time that an answer of the upstream states.
+  void OnWarmupStated(ServicePool& aPool, Replica& aReplica, const UpstreamReply& aReply);
+  /// Logs and counts an upstream that has become cold.
+  void OnCold(const Replica& aReplica, ColdSource aSource, Duration aLeft,
+              const RateShare& aShare);
   /// The pool of a service; created when there is none.
   ServicePool& PoolOf(const ServiceName& aService);
   /// Refuses a request that was not routed; @p aRequest is null when it is malformed.
@@ -154,6 +169,8 @@
   std::map<ServiceName, std::unique_ptr<ServicePool>> mPools;
   /// The service under which an upstream is registered in mPools.
   std::map<UpstreamId, ServiceName> mServiceByUpstream;
+  /// Upstreams were added before: those that are added now appear while this VM serves.
+  bool mHasUpstreams = false;
   std::map<RouteName, WeightedChoice> mSplitChoices;
   std::set<std::shared_ptr<ActiveRequest>> mActiveRequests;
   ReplicaLoad::ExchangeId mNextExchange = 1;
--- a/include/wasabispar/gateway/protocol.hpp
+++ b/include/wasabispar/gateway/protocol.hpp
@@ -66,6 +66,11 @@
   std::optional<double> mRequestLimit;
   /// The value that was stated instead of a valid mRequestLimit; empty if there was none.
   std::string mInvalidRequestLimit;
+  /// How much longer the upstream states that it stays cold; empty if it states nothing.
+  /// Valid as mIsLeaving.
+  std::optional<Duration> mWarmupLeft{};
+  /// The value that was stated instead of a valid mWarmupLeft; empty if there was none.
+  std::string mInvalidWarmup{};
   /// The response to forward, without hop-by-hop headers.
   HttpResponse mResponse;
 };
--- a/include/wasabispar/gateway/service_pool.hpp
+++ b/include/wasabispar/gateway/service_pool.hpp
@@ -9,8 +9,11 @@
 #include "wasabispar/base/timer_service.hpp"
 #include "wasabispar/fleet/regional_quota.hpp"
 #include "wasabispar/net/connection_pool.hpp"
+#include "wasabispar/routing/cold_limit.hpp"
+#include "wasabispar/routing/cold_state.hpp"
 #include "wasabispar/routing/crash_limiter.hpp"
 #include "wasabispar/routing/extra_load_window.hpp"
+#include "wasabispar/routing/outage_watch.hpp"
 #include "wasabispar/routing/placement.hpp"
 #include "wasabispar/routing/placement_scope.hpp"
 #include "wasabispar/routing/quiet_period.hpp"
@@ -22,12 +25,37 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <vector>
 
 namespace wasabispar {
 
+/// @brief Where it was learned that an upstream is cold.
+enum class ColdSource : std::uint8_t
+{
+  /// Its registry entry.
+  Entry,
+  /// A response of the upstream.
+  Response,
+  /// The registry added a new incarnation.
+  Added,
+  /// The evacuation of its data centre ended.
+  EvacuationEnded,
+  /// It can be reached again after an outage of its own, and may have restarted.
+  Reconnected,
+};
+
+/// @brief What is known of one upstream's cold times, and the requests sent to it.
+/// Outlives the removal of the upstream's entry, which may lapse and be written again.
+struct ColdUpstream
+{
+  ColdState mState;
+  ColdLimit mLimit;
+  OutageWatch mOutage;
+};
+
 /// @brief One upstream of a service. Exchanges share the ownership, so that a removed
 /// upstream stays valid until its last exchange has ended.
 struct Replica
@@ -54,6 +82,8 @@
   QuietPeriod mQuietPeriod;
   /// The requests a second that the upstream takes from all VMs.
   RequestLimit mRequestLimit;
+  /// Never null.
+  std::shared_ptr<ColdUpstream> mCold;
   std::shared_ptr<ConnectionPool> mConnectionPool;
   /// Probes the upstream after a lost exchange.
   Subscription mProbeTimer;
@@ -113,6 +143,18 @@
   /// Number of VMs that share the request limit of an upstream, at least 1. If empty,
   /// this VM has it alone.
   std::function<std::size_t()> mVmCount;
+  /// This VM's shares of limits on the requests of all VMs; null while it may use none.
+  /// If the function is empty, this VM has each limit alone.
+  std::function<FleetRateSharePtr()> mRateShare;
+  /// The requests per second that a cold upstream may get from all VMs, for what it can
+  /// sustain. If the function is empty, both are equal.
+  std::function<double(double aSustained)> mColdRate;
+  /// Whether upstreams that are added now appeared while this VM was in service; if the
+  /// function is empty, they did.
+  std::function<bool()> mIsInService;
+  /// Called when an upstream has become cold, with this VM's share.
+  std::function<void(const Replica&, ColdSource, Duration aLeft, const RateShare&)>
+    mOnCold;
   /// Runs the timers of the pool; null if it has none, so that requests which wait for a
   /// limited upstream are only started by Tick() and the end of exchanges.
   TimerService* mTimers = nullptr;
@@ -146,8 +188,8 @@
   ServicePool(boost::asio::io_context& aContext, ServicePoolOptions aOptions);
   ~ServicePool();
 
-  /// @brief Sets how many connections one upstream accepts from all VMs together.
-  void SetMaxConnections(std::uint32_t aMax);
+  /// @brief Applies the settings of the service.
+  void Configure(const ServiceDefinition& aDefinition);
   /// @brief Replaces the budget for extra sends.
   void SetExtraLoad(const ExtraLoadOptions& aOptions);
   /// @brief Calls ServicePoolOptions::mConnectionQuotas and applies the result.
@@ -182,9 +224,33 @@
   /// limit has changed. @p aSentAt is when the answered request was sent.
   bool OnRequestLimit(Replica& aReplica, std::optional<double> aPerSecond,
                       TimePoint aSentAt, TimePoint aNow);
+  /// @brief A response of the upstream states that it stays cold for @p aLeft.
+  void OnWarmupStated(Replica& aReplica, Duration aLeft, TimePoint aNow);
+  /// @brief The evacuation of a data centre has ended: its upstreams count as cold for
+  /// the warm-up of the service if the service limits requests to cold upstreams.
+  void OnEvacuationEnded(const DataCentreId& aDataCentre, TimePoint aNow);
+  /// @brief A connection to the upstream was opened, or could not be opened. Its entry
+  /// may be read seconds after a restart, so an upstream that was out of reach while
+  /// another one of the service was not counts as cold until its entry must have been
+  /// read.
+  void OnConnectEnd(const UpstreamId& aId, bool aIsOpened, TimePoint aNow);
+  /// @brief The upstream with this id; null when there is none.
+  ReplicaPtr Find(const UpstreamId& aId) const;
+  /// @brief An upstream was chosen for an exchange, which counts against its limit while
+  /// it is cold.
+  void OnChosen(Replica& aReplica, ColdLimit::ExchangeId aExchange, TimePoint aNow);
+  /// @brief Whether the first byte may be sent by the limit on cold upstreams. If so, the
+  /// exchange is counted. To be followed by the end of the exchange; see OnExchangeEnd().
+  bool MayStart(const Replica& aReplica, ColdLimit::ExchangeId aExchange, TimePoint aNow);
+  /// @brief An exchange has ended or was withdrawn. One that never started no longer
+  /// counts against the limit.
+  static void OnExchangeEnd(const Replica& aReplica, ColdLimit::ExchangeId aExchange);
   /// @brief Whether each usable upstream in @p aRegions limits the requests that it
-  /// takes.
+  /// takes, or is cold.
   bool IsLimited(const PermittedRegions& aRegions) const;
+  /// @brief Time until the first upstream in @p aScope may get a request, if all of them
+  /// are cold and at their limit; empty otherwise.
+  std::optional<Duration> ColdWait(const PlacementScope& aScope, TimePoint aNow) const;
   /// @brief Expected time in the queue of a request that is added now and may be served
   /// in
   /// @p aRegions. @p aAnswerBy is the last time at which its answer is on time.
@@ -199,6 +265,30 @@
   ExtraLoadWindow& ExtraLoad() { return mExtraLoad; }
 
 private:
+  /// This VM's shares of limits; null if it may use none.
+  FleetRateSharePtr RateShareNow() const;
+  /// This VM's share of the requests to a cold upstream.
+  RateShare ColdShare(const Replica& aReplica) const;
+  /// Whether requests to the upstream are limited because it is cold.
+  bool IsColdLimited(const Replica& aReplica, TimePoint aNow) const;
+  /// When the upstream may get a request by its own limit and as a cold one.
+  TimePoint NextSendAt(const Replica& aReplica, TimePoint aNow) const;
+  /// Requests per second that this VM may send to an upstream by its limits; empty if
+  /// there is none.
+  std::optional<double> LimitedRate(const Replica& aReplica, TimePoint aNow) const;
+  /// How the limit that an upstream names is divided among the VMs.
+  LimitDivision Divide(const Replica& aReplica, double aPerSecond) const;
+  /// Applies a change of the VMs that share limits, and forgets upstreams that are gone
+  /// and no longer cold.
+  void UpdateShares(TimePoint aNow);
+  /// The cold times of an upstream, also of earlier incarnations and lapsed entries.
+  std::shared_ptr<ColdUpstream> ColdUpstreamOf(const UpstreamId& aId);
+  /// An upstream was added, or its entry is about to change to @p aRecord.
+  void OnAdded(Replica& aReplica, TimePoint aNow);
+  void OnEntry(Replica& aReplica, const UpstreamRecord& aRecord, TimePoint aNow);
+  /// Reports an upstream that was not cold before.
+  void ReportCold(const Replica& aReplica, bool aWasCold, ColdSource aSource,
+                  TimePoint aNow) const;
   /// Applies the quota of this VM to an upstream.
   static void ApplyQuota(Replica& aReplica, const ConnectionQuota& aQuota);
   /// Starts waiting requests again when a limited upstream may get the next request.
@@ -220,8 +310,6 @@
   /// Withdraws the requests that wait for a connection to the upstream, so that they are
   /// placed again.
   void WithdrawQueued(Replica& aReplica);
-  /// The upstream with this id; null when there is none.
-  ReplicaPtr Find(const UpstreamId& aId) const;
   /// The usable and reachable upstreams in the scope. Each choice for a request is made
   /// among them.
   std::vector<ReplicaCandidate> Candidates(const PlacementScope& aScope,
@@ -231,6 +319,10 @@
   ServicePoolOptions mOptions;
   /// Connections that one upstream accepts from all VMs together.
   std::uint32_t mMaxConnections = 1;
+  ColdBound mColdBound;
+  std::map<UpstreamId, std::shared_ptr<ColdUpstream>> mColdUpstreams;
+  /// The shares of the last UpdateShares().
+  FleetRateSharePtr mRateShare;
   std::vector<ReplicaPtr> mReplicas;
   WaitQueue mQueue;
   ExtraLoadWindow mExtraLoad;
--- a/src/wasabispar/gateway/active_request.cpp
+++ b/src/wasabispar/gateway/active_request.cpp
@@ -202,6 +202,7 @@
   const auto now = BootClock::now();
   const auto exchange = *found;
   part.mOpenExchanges.erase(found);
+  ServicePool::OnExchangeEnd(*exchange.mReplica, aExchange);
   const auto httpEnd = aResult.mEnd;
   if (mIsCallerDisconnected) {
     RecordEnd(exchange, httpEnd, {});
@@ -263,6 +264,7 @@
                             mRequest.mId);
   mGateway.OnRequestLimit(*aPart.mServicePool, *aExchange.mReplica, aReply,
                           aExchange.mSentAt);
+  mGateway.OnWarmupStated(*aPart.mServicePool, *aExchange.mReplica, aReply);
   switch (aReply.mKind) {
     case UpstreamReply::Kind::Answer:
       load.OnAnswered(aExchange.mId, aNow);
--- a/src/wasabispar/gateway/active_request.hpp
+++ b/src/wasabispar/gateway/active_request.hpp
@@ -88,6 +88,9 @@
   void Launch(std::size_t aPart, TraceStep aStep);
   /// Sends a queued part; returns false when the part must stay in the queue.
   bool TryLaunch(std::size_t aPart, TraceStep aStep);
+  /// Abandons a queued part whose upstreams are all cold and at their limit for too long;
+  /// returns false when the part must stay in the queue.
+  bool AbandonIfCold(std::size_t aPart, TimePoint aNow);
   /// Whether the part may be sent although upstreams may have crashed with it; otherwise
   /// adds a step to the trace.
   bool IsCrashLimitKept(std::size_t aPart, TimePoint aNow);
--- a/src/wasabispar/gateway/active_request_send.cpp
+++ b/src/wasabispar/gateway/active_request_send.cpp
@@ -107,7 +107,7 @@
   }
   const auto placement = part.mServicePool->Choose(part.mScope, now);
   if (placement.mKind == PlacementResult::Kind::Busy) {
-    return false;
+    return AbandonIfCold(aPart, now);
   }
   part.mQueueEntry.reset();
   if (placement.mKind == PlacementResult::Kind::Found) {
@@ -121,6 +121,24 @@
   return true;
 }
 
+bool
+ActiveRequest::AbandonIfCold(std::size_t aPart, TimePoint aNow)
+{
+  auto& part = mParts[aPart];
+  const auto wait = part.mServicePool->ColdWait(part.mScope, aNow);
+  if (!wait || !part.mOpenExchanges.empty()) {
+    return false;
+  }
+  const auto expected = part.mServicePool->BestExpectedLatency(part.mScope, aNow);
+  if (!expected || aNow + *wait < LatestSend(part, *expected)) {
+    return false;
+  }
+  part.mQueueEntry.reset();
+  AbandonPart(aPart, aNow);
+  ApplyDecision();
+  return true;
+}
+
 void
 ActiveRequest::LeaveQueue(Part& aPart)
 {
@@ -161,6 +179,7 @@
   PlanHedge(part, expected, now);
   aReplica->mLoad.OnSent(exchange, now);
   aReplica->mRequestLimit.OnSent(now);
+  part.mServicePool->OnChosen(*aReplica, exchange, now);
 
   PooledRequest pooled;
   pooled.mMakeRequest = [self = shared_from_this(),
@@ -196,6 +215,10 @@
   if (!takesRequests || !IsCrashLimitKept(aPart, aNow)) {
     return false;
   }
+  if (!mParts[aPart].mServicePool->MayStart(aReplica, aExchange, aNow)) {
+    mGateway.mMetrics.CountColdWithdrawal(aReplica.mRecord.mService);
+    return false;
+  }
   mGateway.mCrashLimiter.OnSent(aExchange, mParts[aPart].mIdentity,
                                 aReplica.Incarnation(), aNow);
   return true;
--- a/src/wasabispar/gateway/gateway.cpp
+++ b/src/wasabispar/gateway/gateway.cpp
@@ -182,13 +182,14 @@
   mOptions.mPools.mResponseBudget =
     std::make_shared<ByteBudget>(mOptions.mMaxResponseBytes);
   mOptions.mPools.mTimers = &mWorker.Timers();
+  mOptions.mPools.mIsInService = [this] { return mHasUpstreams; };
+  mOptions.mPools.mOnCold = [this](const Replica& aReplica, ColdSource aSource,
+                                   Duration aLeft, const RateShare& aShare) {
+    OnCold(aReplica, aSource, aLeft, aShare);
+  };
   mOptions.mPools.mOnConnectEnd = [this](const UpstreamIncarnation& aUpstream,
                                          bool aIsOpened) {
-    if (aIsOpened) {
-      mCrashLimiter.OnConnected(aUpstream, BootClock::now());
-    } else {
-      mCrashLimiter.OnConnectFailed(aUpstream, BootClock::now());
-    }
+    OnConnectEnd(aUpstream, aIsOpened);
   };
   mTickTimer = mWorker.Timers().Every(kTickPeriod, [this] { Tick(); });
 }
@@ -393,7 +394,7 @@
   }
   for (const auto& [name, pool] : mPools) {
     if (const auto* service = mRoutes->Service(name)) {
-      pool->SetMaxConnections(service->mMaxConnections);
+      pool->Configure(*service);
     }
   }
   return true;
@@ -407,7 +408,7 @@
     pool = std::make_unique<ServicePool>(mWorker.Context(), mOptions.mPools);
     const auto* service = mRoutes ? mRoutes->Service(aService) : nullptr;
     if (service) {
-      pool->SetMaxConnections(service->mMaxConnections);
+      pool->Configure(*service);
     }
   }
   return *pool;
@@ -442,6 +443,7 @@
     }
     apply(record.mService, change);
   }
+  mHasUpstreams = true;
   for (auto* pool : stalePools) {
     pool->UpdateQuotas();
   }
--- a/src/wasabispar/gateway/service_pool.cpp
+++ b/src/wasabispar/gateway/service_pool.cpp
@@ -36,13 +36,13 @@
 
 /// Requests a second that this VM can send to an upstream.
 double
-SendRate(const ReplicaCandidate& aCandidate, const RequestLimit& aLimit)
+SendRate(const ReplicaCandidate& aCandidate, std::optional<double> aLimit)
 {
   constexpr double kMinSeconds = 0.001;
   const auto seconds = ToDoubleMilliseconds(aCandidate.mExpectedLatency) / 1000.0;
   const auto rate =
     static_cast<double>(aCandidate.mMaxInFlight) / std::max(seconds, kMinSeconds);
-  return std::min(rate, aLimit.Share().value_or(rate));
+  return std::min(rate, aLimit.value_or(rate));
 }
 
 } // namespace
@@ -65,9 +65,10 @@
 }
 
 void
-ServicePool::SetMaxConnections(std::uint32_t aMax)
+ServicePool::Configure(const ServiceDefinition& aDefinition)
 {
-  mMaxConnections = aMax;
+  mMaxConnections = aDefinition.mMaxConnections;
+  mColdBound = aDefinition.mColdBound;
   UpdateQuotas();
 }
 
@@ -116,6 +117,7 @@
     return existing != nullptr;
   }
   if (existing && aChange.mKind != UpstreamChange::Kind::Replaced) {
+    OnEntry(*existing, aChange.mRecord, BootClock::now());
     existing->mRecord = aChange.mRecord;
     if (!existing->IsUsable()) {
       WithdrawQueued(*existing);
@@ -126,6 +128,7 @@
     Retire(existing);
   }
   mReplicas.push_back(Create(aChange.mRecord));
+  OnAdded(*mReplicas.back(), BootClock::now());
   return true;
 }
 
@@ -191,6 +194,7 @@
   auto replica =
     std::make_shared<Replica>(isRemote ? kInitialRemoteLatency : kInitialLocalLatency);
   replica->mRecord = aRecord;
+  replica->mCold = ColdUpstreamOf(aRecord.mId);
   replica->mIsRemote = isRemote;
   replica->mRegion =
     mOptions.mRegionOf ? mOptions.mRegionOf(aRecord.mDataCentre) : RegionId();
@@ -238,6 +242,7 @@
       replica->mConnectionPool->Tick();
     }
   }
+  UpdateShares(BootClock::now());
   DispatchQueue();
 }
 
@@ -270,30 +275,13 @@
   for (const auto& replica : mReplicas) {
     if (replica->IsUsable() && !replica->IsUnreachable() &&
         aRegions.Permits(replica->mRegion)) {
-      const auto at = replica->mRequestLimit.NextSendAt(aNow);
+      const auto at = NextSendAt(*replica, aNow);
       next = std::min(next.value_or(at), at);
     }
   }
   return next;
 }
 
-bool
-ServicePool::OnRequestLimit(Replica& aReplica, std::optional<double> aPerSecond,
-                            TimePoint aSentAt, TimePoint aNow)
-{
-  const auto vms = mOptions.mVmCount ? mOptions.mVmCount() : 1;
-  return aReplica.mRequestLimit.OnAnswer(aPerSecond, vms, aSentAt, aNow, mRandom);
-}
-
-bool
-ServicePool::IsLimited(const PermittedRegions& aRegions) const
-{
-  return std::ranges::all_of(mReplicas, [&aRegions](const ReplicaPtr& aReplica) {
-    return !aReplica->IsUsable() || !aRegions.Permits(aReplica->mRegion) ||
-           aReplica->mRequestLimit.IsLimited();
-  });
-}
-
 void
 ServicePool::OnRequest(TimePoint aNow)
 {
@@ -319,7 +307,7 @@
                            replica.mLoad.FailureRatio(aNow), replica.mLoad.InFlight(),
                            maxExchanges, replica.mRecord.mSlots, replica.mIsRemote,
                            replica.mLoad.IsAvoided(aNow), replica.mIsOverflow,
-                           !replica.mRequestLimit.MaySend(aNow) });
+                           NextSendAt(replica, aNow) > aNow });
   }
   return candidates;
 }
@@ -412,7 +400,7 @@
   const auto untilFirst = isAtLimit ? *NextSendAt(aRegions, aNow) - aNow : Duration{};
   double perSecond = 0;
   for (const auto& candidate : candidates) {
-    perSecond += SendRate(candidate, mReplicas[candidate.mIndex]->mRequestLimit);
+    perSecond += SendRate(candidate, LimitedRate(*mReplicas[candidate.mIndex], aNow));
   }
   if (ahead == 0 || perSecond <= 0) {
     return untilFirst;
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -16,6 +16,7 @@
 constexpr auto kLeavingHeader = "Test-Leaving";
 constexpr auto kLimitHeader = "Test-Limit";
 constexpr auto kQuietHeader = "Test-Quiet-Ms";
+constexpr auto kWarmupHeader = "Test-Warmup-Ms";
 
 /// The test protocol between callers and the gateway.
 CallerProtocol
@@ -100,6 +101,9 @@
     if (const auto quiet = aResponse.Header(kQuietHeader); !quiet.empty()) {
       reply.mQuietTime = std::chrono::milliseconds(std::stoll(std::string(quiet)));
     }
+    if (const auto warmup = aResponse.Header(kWarmupHeader); !warmup.empty()) {
+      reply.mWarmupLeft = std::chrono::milliseconds(std::stoll(std::string(warmup)));
+    }
     reply.mResponse = std::move(aResponse);
     return reply;
   };
@@ -142,6 +146,8 @@
   record.mAddress = UpstreamAddress("127.0.0.1:" + std::to_string(mPort));
   record.mSlots = 2;
   record.mDataCentre = DataCentreId(mDataCentre);
+  record.mStartedUnixMs = mStartedUnixMs;
+  record.mWarmup = mWarmup;
   return record;
 }
 
@@ -254,6 +260,9 @@
     return RegionId(aDataCentre.Text());
   };
   options.mPools.mExtraLoad.mReserve = 100;
+  const VmId self("self");
+  mRateShare = std::make_shared<const FleetRateShare>(self, std::vector{ self });
+  options.mPools.mRateShare = [this] { return mRateShare; };
   options.mOnLeavingAnnounced = [this](const UpstreamRecord& aRecord) {
     mGateway->OnUpstreamChanges(mDirectory.OnLeavingAnnounced(aRecord, BootClock::now()));
   };
@@ -319,7 +328,13 @@
 }
 
 void
-GatewayFixture::SetRoutes(std::vector<Route> aRoutes)
+GatewayFixture::SetRateShare(FleetRateSharePtr aShare)
+{
+  OnWorker([&] { mRateShare = std::move(aShare); });
+}
+
+void
+GatewayFixture::SetRoutes(std::vector<Route> aRoutes, const ColdBound& aColdBound)
 {
   std::map<ServiceName, ServiceDefinition> services;
   OnWorker([&] {
@@ -327,10 +342,10 @@
     for (const auto& route : aRoutes) {
       if (const auto* fanOut = std::get_if<FanOutTarget>(&route.mTarget)) {
         for (const auto& shard : fanOut->mShards) {
-          definitions.push_back({ shard, 16 });
+          definitions.push_back({ shard, 16, aColdBound });
         }
       } else if (const auto* service = std::get_if<ServiceName>(&route.mTarget)) {
-        definitions.push_back({ *service, 16 });
+        definitions.push_back({ *service, 16, aColdBound });
       }
     }
     mGateway->SetRoutes(std::make_shared<const RouteTable>(
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -74,6 +75,9 @@
   std::vector<HttpHeader> mExtraHeaders;
   /// Time from a request to its answer.
   Duration mDelay{};
+  /// The start time and the cold time in the registry entry.
+  std::uint64_t mStartedUnixMs = 0;
+  std::optional<WarmupNotice> mWarmup;
   /// The data centre in the registry entry, which is also the region of the upstream.
   std::string mDataCentre;
   std::string mBody = "body";
@@ -129,8 +133,10 @@
   /// @brief Adds an upstream whose connections never open, because the backlog of its
   /// listener is full. Returns its registry entry.
   UpstreamRecord AddUnconnectable(const std::string& aService, const std::string& aId);
-  /// @brief Replaces the routes of the gateway.
-  void SetRoutes(std::vector<Route> aRoutes);
+  /// @brief Replaces the routes of the gateway. All services get @p aColdBound.
+  void SetRoutes(std::vector<Route> aRoutes, const ColdBound& aColdBound = {});
+  /// @brief Replaces this VM's shares of limits; null: none. At first it has all alone.
+  void SetRateShare(FleetRateSharePtr aShare);
   /// @brief Sends a request for host `h` with the given timeout of the caller.
   std::future<GatewayAnswer> Send(const std::string& aPath, Duration aCallerTimeout);
   /// @brief Sends a request and waits for its response.
@@ -152,6 +158,7 @@
   /// The listeners of AddUnconnectable() and the connections that fill their backlogs.
   std::vector<std::unique_ptr<boost::asio::ip::tcp::acceptor>> mFullListeners;
   std::vector<std::unique_ptr<boost::asio::ip::tcp::socket>> mBacklogConnections;
+  FleetRateSharePtr mRateShare;
   UpstreamDirectory mDirectory;
   /// Revision of the last entry in mDirectory.
   std::uint64_t mRevision = 0;
