--- a/include/wasabispar/gateway/gateway.hpp
+++ b/include/wasabispar/gateway/gateway.hpp
@@ -85,6 +85,11 @@
   void CountConnectionPressure();
   /// @brief Sets whether a data centre is evacuated.
   void SetEvacuated(const DataCentreId& aDataCentre, bool aIsEvacuated);
+  /// @brief Counts an upstream that has become cold.
+  void CountCold(const ServiceName& aService);
+  /// @brief Counts a request that was withdrawn right before its first byte, because the
+  /// upstream had become cold.
+  void CountColdWithdrawal(const ServiceName& aService);
   /// @brief Counts a finished exchange by the step that ended it.
   void CountExchange(TraceStep aStep);
 };
@@ -113,6 +118,9 @@
   void SetEvacuated(const std::set<DataCentreId>& aDataCentres);
   /// @brief Takes account of the upstreams that crashed at another VM with a request.
   void OnCrashReport(const VmId& aVm, const RequestCrashReport& aReport);
+  /// @brief The evacuation of a data centre has ended; see
+  /// ServicePool::OnEvacuationEnded().
+  void OnEvacuationEnded(const DataCentreId& aDataCentre);
   /// @brief Replaces the budget for extra sends of all services.
   void SetExtraLoad(const ExtraLoadOptions& aOptions);
   /// @brief Reads the connection quotas of all upstreams again.
@@ -146,6 +154,13 @@
                       TimePoint aSentAt);
   /// Logs the start or end of the evacuation of a data centre.
   void ReportEvacuation(const DataCentreId& aDataCentre, bool aIsEvacuated);
+  /// A connection to an upstream was opened, or could not be opened.
+  void OnConnectEnd(const UpstreamIncarnation& aUpstream, bool aIsOpened);
+  /// Takes account of the cold time that an answer of the upstream states.
+  void OnWarmupStated(ServicePool& aPool, Replica& aReplica, const UpstreamReply& aReply);
+  /// Logs and counts an upstream that has become cold.
+  void OnCold(const Replica& aReplica, ColdSource aSource, Duration aLeft,
+              const RateShare& aShare);
   /// The pool of a service; created when there is none.
   ServicePool& PoolOf(const ServiceName& aService);
   /// Refuses a request that was not routed; @p aRequest is null when it is malformed.
@@ -167,6 +182,8 @@
   std::set<DataCentreId> mEvacuated;
   /// The service under which an upstream is registered in mPools.
   std::map<UpstreamId, ServiceName> mServiceByUpstream;
+  /// Upstreams were added before: those that are added now appear while this VM serves.
+  bool mHasUpstreams = false;
   std::map<RouteName, WeightedChoice> mSplitChoices;
   std::set<std::shared_ptr<ActiveRequest>> mActiveRequests;
   ReplicaLoad::ExchangeId mNextExchange = 1;
--- a/src/wasabispar/gateway/evacuation.cpp
+++ b/src/wasabispar/gateway/evacuation.cpp
@@ -27,8 +27,6 @@
   }
   if (isEvacuated) {
     WithdrawQueued(aReplica);
-  } else {
-    aReplica.mEvacuationEndedAt = BootClock::now();
   }
 }
 
@@ -93,6 +91,11 @@
   for (const auto& request : activeRequests) {
     request->OnEvacuation();
   }
+  for (const auto& dataCentre : before) {
+    if (!mEvacuated.contains(dataCentre)) {
+      OnEvacuationEnded(dataCentre);
+    }
+  }
   // Upstreams that are no longer evacuated take the requests that wait.
   for (const auto& [name, pool] : mPools) {
     pool->DispatchQueue();
--- a/tests/gateway/evacuation_test.cpp
+++ b/tests/gateway/evacuation_test.cpp
@@ -108,30 +108,29 @@
   }));
 }
 
-/// Guards against a cold limit that starts too early or not at all: it counts from the
-/// end of the evacuation.
-TEST_CASE("the end of an evacuation is recorded for the upstreams that it concerned")
+/// Guards against a data centre that gets the full load when its evacuation ends: its
+/// upstreams count as cold from that moment on, and only they.
+TEST_CASE_FIXTURE(TwoDataCentres, "upstreams are cold after the end of an evacuation")
 {
-  boost::asio::io_context context;
-  ServicePool pool(context, {});
-  for (const auto* name : { "a", "b" }) {
-    UpstreamRecord record;
-    record.mId = UpstreamId(name);
-    record.mAddress = UpstreamAddress("127.0.0.1:1");
-    record.mDataCentre = DataCentreId(name);
-    std::ignore = pool.OnChange({ UpstreamChange::Kind::Added, record });
-  }
-  pool.UpdateQuotas();
-  pool.SetEvacuated({ DataCentreId("a") });
-  const auto before = BootClock::now();
-  pool.SetEvacuated({});
-  const auto ended = [&pool](const char* aOther) {
-    const PlacementScope scope{ {}, { UpstreamId(aOther) } };
-    return pool.Choose(scope, BootClock::now()).mReplica->mEvacuationEndedAt;
+  constexpr double kPerSecond = 3;
+  auto southOnly = MakeRoute("south", ServiceName("s"));
+  southOnly.mPermittedRegions = PermittedRegions::Only({ RegionId("south") });
+  auto northOnly = MakeRoute("north", ServiceName("s"));
+  northOnly.mPermittedRegions = PermittedRegions::Only({ RegionId("north") });
+  SetRoutes({ northOnly, southOnly }, { 20s, kPerSecond });
+  const auto answered = [this](const std::string& aPath) {
+    int count = 0;
+    for (int i = 0; i < 10; ++i) {
+      count += SendAndWait(aPath).mResponse.mStatus == 200 ? 1 : 0;
+    }
+    return count;
   };
-  REQUIRE(ended("b"));
-  CHECK(*ended("b") >= before);
-  CHECK_FALSE(ended("a"));
+  CHECK(answered("/north/1") == 10);
+  Evacuate({ "north" });
+  CHECK(answered("/north/1") == 0);
+  Evacuate({});
+  CHECK(answered("/north/1") <= kPerSecond);
+  CHECK(answered("/south/1") == 10);
 }
 
 /// Guards against a first send, a retry or a hedge that goes to an evacuated data centre.
