--- a/include/wasabispar/gateway/protocol.hpp
+++ b/include/wasabispar/gateway/protocol.hpp
@@ -7,6 +7,7 @@
 #include "wasabispar/base/clock.hpp"
 #include "wasabispar/base/ids.hpp"
 #include "wasabispar/net/http_types.hpp"
+#include "wasabispar/routing/reported_load.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -66,6 +67,10 @@
   std::optional<double> mRequestLimit;
   /// The value that was stated instead of a valid mRequestLimit; empty if there was none.
   std::string mInvalidRequestLimit;
+  /// The load of the upstream; empty if it states none. Valid as mIsLeaving.
+  std::optional<LoadReport> mLoad;
+  /// The value that was stated instead of a valid mLoad; empty if there was none.
+  std::string mInvalidLoad;
   /// The response to forward, without hop-by-hop headers.
   HttpResponse mResponse;
 };
