--- a/include/wasabispar/routing/placement.hpp
+++ b/include/wasabispar/routing/placement.hpp
@@ -34,6 +34,12 @@
   bool mIsOverflow = false;
   /// The upstream's request limit allows no request of this VM now.
   bool mIsAtRequestLimit = false;
+  /// Requests of all VMs that run or wait at the upstream, from ReportedLoad; empty if
+  /// they are not known.
+  std::optional<double> mReportedLoad{};
+  /// How long work takes there by ReportedLoad, relative to usual; empty if it is not
+  /// known.
+  std::optional<double> mReportedSlowdown{};
 };
 
 /// @brief The expected response time, plus the wait behind the exchanges that this VM
--- a/include/wasabispar/routing/replica_load.hpp
+++ b/include/wasabispar/routing/replica_load.hpp
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace wasabispar {
@@ -31,6 +32,13 @@
   /// @param aInitial expected response time before the first sample.
   explicit ReplicaLoad(Duration aInitial);
 
+  /// @brief If there is no sample yet, replaces the expected response time, unless
+  /// @p aInitial is empty. The first sample then replaces it in turn, instead of changing
+  /// it by its weight: otherwise an upstream that was used once seems slower than one
+  /// that was used often.
+  void SetInitialLatency(std::optional<Duration> aInitial);
+  /// @brief Whether a response time was observed.
+  bool HasSample() const { return mLastSampleAt != TimePoint{}; }
   /// @brief Sets the mean time between the requests of this VM to the service. The
   /// estimates and avoidances last for a few such intervals.
   void SetRequestInterval(Duration aInterval);
@@ -108,6 +116,8 @@
   /// lasting change.
   Duration mBestLatency;
   TimePoint mLastSampleAt{};
+  /// SetInitialLatency() was called before the first sample.
+  bool mIsInitialReplaced = false;
   /// Exponentially weighted fraction of failures, as of mLastOutcomeAt.
   double mFailureRatio = 0;
   TimePoint mLastOutcomeAt{};
--- a/src/wasabispar/routing/replica_load.cpp
+++ b/src/wasabispar/routing/replica_load.cpp
@@ -63,6 +63,16 @@
 {
 }
 
+void
+ReplicaLoad::SetInitialLatency(std::optional<Duration> aInitial)
+{
+  if (!HasSample()) {
+    mMeanLatency = aInitial.value_or(mMeanLatency);
+    mBestLatency = aInitial.value_or(mBestLatency);
+    mIsInitialReplaced = true;
+  }
+}
+
 void
 ReplicaLoad::SetRequestInterval(Duration aInterval)
 {
@@ -172,7 +182,8 @@
 {
   const auto current = ExpectedLatency(aNow);
   const auto mean = std::min(current, std::max(mMeanLatency, mBestLatency));
-  mMeanLatency = mean + Scaled(aSample - mean, mPace.mSampleWeight);
+  const bool isReplacing = mIsInitialReplaced && !HasSample();
+  mMeanLatency = mean + Scaled(aSample - mean, isReplacing ? 1.0 : mPace.mSampleWeight);
   mBestLatency = std::min(aSample, Scaled(mBestLatency, kBestLatencyGrowth));
   mLastSampleAt = aNow;
 }
--- a/src/wasabispar/routing/replica_load_test.cpp
+++ b/src/wasabispar/routing/replica_load_test.cpp
@@ -124,3 +124,21 @@
   }
   CHECK_FALSE(load.IsAvoided(now + 5s));
 }
+
+/// Guards against an upstream that is used once and then seems slow for seconds, because
+/// its estimate still consists of the initial one.
+TEST_CASE("the first sample replaces an assumed latency")
+{
+  ReplicaLoad load(50ms);
+  CHECK_FALSE(load.HasSample());
+  load.SetInitialLatency(30ms);
+  load.SetInitialLatency(std::nullopt);
+  CHECK(load.ExpectedLatency(TimePoint{ 100s }) == 30ms);
+  auto now = CompleteExchanges(load, 1, 8ms, TimePoint{ 100s });
+  CHECK(load.HasSample());
+  CHECK(load.ExpectedLatency(now) == 8ms);
+  load.SetInitialLatency(90ms);
+  CHECK(load.ExpectedLatency(now) == 8ms);
+  now = CompleteExchanges(load, 1, 16ms, now);
+  CHECK(load.ExpectedLatency(now) < 13ms);
+}
--- a/tests/routing/service_replay.hpp
+++ b/tests/routing/service_replay.hpp
@@ -10,6 +10,8 @@
 
 #include <chrono>
 #include <cstddef>
+#include <functional>
+#include <optional>
 #include <vector>
 
 namespace wasabispar {
@@ -56,13 +58,19 @@
   }
 };
 
-/// @brief Sends requests at a steady rate to the searchers that ChooseCandidate()
-/// selects. The service time of a request is 5 to 10 ms times mSlowdown.
+/// @brief Sends requests at a steady rate to the searchers that a choice selects. The
+/// service time of a request is 5 to 10 ms times mSlowdown.
 class ServiceReplay
 {
 public:
-  explicit ServiceReplay(std::vector<SearcherModel> aModels)
+  /// Type of ChooseCandidate().
+  using ChooseFn =
+    std::function<std::optional<std::size_t>(const std::vector<ReplicaCandidate>&)>;
+
+  explicit ServiceReplay(std::vector<SearcherModel> aModels,
+                         ChooseFn aChoose = ChooseCandidate)
     : mModels(std::move(aModels))
+    , mChoose(std::move(aChoose))
     , mRandom(SeededRandom(7))
   {
     for (const auto& model : mModels) {
@@ -136,7 +144,7 @@
                              mModels[i].mIsRemote, mLoads[i].IsAvoided(aNow) });
     }
     ++aResult.mRequests;
-    const auto chosen = ChooseCandidate(candidates);
+    const auto chosen = mChoose(candidates);
     if (!chosen) {
       ++aResult.mFailed;
       return;
@@ -156,6 +164,7 @@
   }
 
   std::vector<SearcherModel> mModels;
+  ChooseFn mChoose;
   RandomFn mRandom;
   std::vector<ReplicaLoad> mLoads;
   std::vector<Running> mRunning;
