Gateway: balance single services of large fleets, and services that state their load

Tests: with two fast upstreams of a single service, one got 0 of 60 requests before ("a large fleet uses all upstreams of a single service"); small fleets and shards choose as before. The property test of the permitted regions also runs with the balanced choice.

--- a/include/wasabispar/gateway/gateway.hpp
+++ b/include/wasabispar/gateway/gateway.hpp
@@ -38,6 +38,9 @@
   CrashLimiterOptions mCrashLimit;
   /// Whether this VM may try a request again that crashed many upstreams. May be empty.
   MayTryFn mMayTry;
+  /// Whether so many VMs serve callers that the requests of single services must be
+  /// balanced over their upstreams. If empty, there are few.
+  std::function<bool()> mIsLargeFleet;
   /// Called when an upstream announced in an answer that it leaves. Must report the
   /// change by Gateway::OnUpstreamChanges(), before it returns if it is to take effect at
   /// once.
@@ -72,6 +75,8 @@
   prometheus::Counter& mMissingParts;
   /// Log lines dropped by the rate limit of TraceLog.
   prometheus::Counter& mTraceLinesDropped;
+  /// Services whose requests are balanced over their upstreams.
+  prometheus::Gauge& mBalancedServices;
 
   /// @brief Counts a finished request by its outcome.
   void CountRequest(std::string_view aOutcome);
@@ -81,6 +86,8 @@
   void CountQuietRequest(const ServiceName& aService);
   /// @brief Counts a change of the request limit that an upstream names.
   void CountRequestLimitChange(const ServiceName& aService);
+  /// @brief Counts a malformed load that an upstream stated.
+  void CountInvalidLoad(const ServiceName& aService);
   /// @brief Counts a finished exchange by the step that ended it.
   void CountExchange(TraceStep aStep);
 };
@@ -134,6 +141,10 @@
   /// end; logs a change. @p aSentAt is when the answered request was sent.
   void OnRequestLimit(ServicePool& aPool, Replica& aReplica, const UpstreamReply& aReply,
                       TimePoint aSentAt);
+  /// Keeps the load that an answer of the upstream states; logs a malformed one.
+  void OnLoadReport(Replica& aReplica, const UpstreamReply& aReply, TimePoint aNow);
+  /// Decides which services are balanced, by the routes and the size of the fleet.
+  void UpdateBalancing(TimePoint aNow);
   /// The pool of a service; created when there is none.
   ServicePool& PoolOf(const ServiceName& aService);
   /// Refuses a request that was not routed; @p aRequest is null when it is malformed.
--- a/include/wasabispar/gateway/service_pool.hpp
+++ b/include/wasabispar/gateway/service_pool.hpp
@@ -15,6 +15,7 @@
 #include "wasabispar/routing/placement_scope.hpp"
 #include "wasabispar/routing/quiet_period.hpp"
 #include "wasabispar/routing/replica_load.hpp"
+#include "wasabispar/routing/reported_load.hpp"
 #include "wasabispar/routing/request_interval.hpp"
 #include "wasabispar/routing/request_limit.hpp"
 #include "wasabispar/routing/upstream_directory.hpp"
@@ -54,6 +55,10 @@
   QuietPeriod mQuietPeriod;
   /// The requests a second that the upstream takes from all VMs.
   RequestLimit mRequestLimit;
+  /// The load that the upstream states.
+  ReportedLoad mReportedLoad;
+  /// The last load that the upstream stated was malformed.
+  bool mHasInvalidLoad = false;
   std::shared_ptr<ConnectionPool> mConnectionPool;
   /// Probes the upstream after a lost exchange.
   Subscription mProbeTimer;
@@ -159,6 +164,10 @@
   /// periodically.
   void Tick();
 
+  /// @brief Sets whether ChooseBalanced() decides also if no upstream states its load.
+  void SetBalanced(bool aIsBalanced) { mIsBalanced = aIsBalanced; }
+  /// @brief Whether ChooseBalanced() decides; otherwise ChooseCandidate().
+  bool IsBalanced(TimePoint aNow) const;
   /// @brief A request, or a part of one, arrived for the service.
   void OnRequest(TimePoint aNow);
   /// @brief Chooses the best usable upstream in @p aScope.
@@ -222,6 +231,12 @@
   void WithdrawQueued(Replica& aReplica);
   /// The upstream with this id; null when there is none.
   ReplicaPtr Find(const UpstreamId& aId) const;
+  /// The mIndex of the candidate for the next request; empty when all are at a limit.
+  std::optional<std::size_t> ChooseIndex(std::vector<ReplicaCandidate> aCandidates,
+                                         TimePoint aNow) const;
+  /// Expects the same response time of upstreams that have not answered yet as of the
+  /// others at the same distance.
+  void AssumeLatencies(TimePoint aNow);
   /// The usable and reachable upstreams in the scope. Each choice for a request is made
   /// among them.
   std::vector<ReplicaCandidate> Candidates(const PlacementScope& aScope,
@@ -236,6 +251,7 @@
   ExtraLoadWindow mExtraLoad;
   RequestInterval mRequestInterval;
   RandomFn mRandom;
+  bool mIsBalanced = false;
   /// For DispatchLater().
   Subscription mDispatchTimer;
 };
--- a/include/wasabispar/routing/route.hpp
+++ b/include/wasabispar/routing/route.hpp
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -116,6 +117,8 @@
   /// @brief The settings of a service; null when the table has none. Valid as long as the
   /// table.
   const ServiceDefinition* Service(const ServiceName& aName) const;
+  /// @brief Whether a fan-out sends parts to the service.
+  bool IsShard(const ServiceName& aName) const { return mShards.contains(aName); }
   RouteTableVersion Version() const { return mVersion; }
   const CallerLimits& Limits() const { return mLimits; }
   /// @brief Number of routes of all hosts.
@@ -128,6 +131,8 @@
   /// Routes by lower-case host without port. Invariant: longer prefixes come first.
   std::map<std::string, std::vector<Route>, std::less<>> mRoutesByHost;
   std::map<ServiceName, ServiceDefinition> mServices;
+  /// The services of all fan-outs.
+  std::set<ServiceName> mShards;
   CallerLimits mLimits;
 };
 
--- a/src/wasabispar/gateway/active_request.cpp
+++ b/src/wasabispar/gateway/active_request.cpp
@@ -263,6 +263,7 @@
                             mRequest.mId);
   mGateway.OnRequestLimit(*aPart.mServicePool, *aExchange.mReplica, aReply,
                           aExchange.mSentAt);
+  mGateway.OnLoadReport(*aExchange.mReplica, aReply, aNow);
   switch (aReply.mKind) {
     case UpstreamReply::Kind::Answer:
       load.OnAnswered(aExchange.mId, aNow);
--- a/src/wasabispar/gateway/active_request_send.cpp
+++ b/src/wasabispar/gateway/active_request_send.cpp
@@ -161,6 +161,7 @@
   PlanHedge(part, expected, now);
   aReplica->mLoad.OnSent(exchange, now);
   aReplica->mRequestLimit.OnSent(now);
+  aReplica->mReportedLoad.OnSent();
 
   PooledRequest pooled;
   pooled.mMakeRequest = [self = shared_from_this(),
--- a/src/wasabispar/gateway/gateway.cpp
+++ b/src/wasabispar/gateway/gateway.cpp
@@ -94,6 +94,9 @@
                                    "Parts left out of merged answers."))
   , mTraceLinesDropped(aMetrics.Counter("wasabispar_gateway_trace_lines_dropped_total",
                                         "Log lines above the bound on their rate."))
+  , mBalancedServices(
+      aMetrics.Gauge("wasabispar_gateway_balanced_services",
+                     "Services whose requests are balanced over their upstreams."))
 {
 }
 
@@ -210,6 +213,7 @@
 void
 Gateway::Tick()
 {
+  UpdateBalancing(BootClock::now());
   for (const auto& [name, pool] : mPools) {
     pool->Tick();
   }
--- a/src/wasabispar/gateway/service_pool.cpp
+++ b/src/wasabispar/gateway/service_pool.cpp
@@ -302,6 +302,7 @@
   for (const auto& replica : mReplicas) {
     replica->mLoad.SetRequestInterval(mRequestInterval.Mean());
   }
+  AssumeLatencies(aNow);
 }
 
 std::vector<ReplicaCandidate>
@@ -331,7 +332,7 @@
   if (candidates.empty()) {
     return { PlacementResult::Kind::None, nullptr };
   }
-  const auto chosen = ChooseCandidate(candidates);
+  const auto chosen = ChooseIndex(candidates, aNow);
   if (!chosen) {
     return { PlacementResult::Kind::Busy, nullptr };
   }
--- /dev/null
+++ b/src/wasabispar/gateway/service_pool_balance.cpp
@@ -0,0 +1,53 @@
+/// @file
+/// @brief How a pool spreads requests when many VMs choose at the same time.
+#include "wasabispar/gateway/service_pool.hpp"
+#include "wasabispar/routing/balanced_choice.hpp"
+
+#include <algorithm>
+
+namespace wasabispar {
+
+bool
+ServicePool::IsBalanced(TimePoint aNow) const
+{
+  return mIsBalanced || std::ranges::any_of(mReplicas, [aNow](const ReplicaPtr& aItem) {
+           return aItem->mReportedLoad.IsReporting(aNow);
+         });
+}
+
+std::optional<std::size_t>
+ServicePool::ChooseIndex(std::vector<ReplicaCandidate> aCandidates, TimePoint aNow) const
+{
+  if (!IsBalanced(aNow)) {
+    return ChooseCandidate(aCandidates);
+  }
+  for (auto& candidate : aCandidates) {
+    const auto& reported = mReplicas[candidate.mIndex]->mReportedLoad;
+    candidate.mReportedLoad = reported.EstimateAt(aNow);
+    candidate.mReportedSlowdown = reported.SlowdownAt(aNow);
+    candidate.mSlots = reported.Slots().value_or(candidate.mSlots);
+  }
+  return ChooseBalanced(aCandidates, mRandom);
+}
+
+/// The fixed initial estimate may be several times too high or too low: an upstream would
+/// never be tried, or its first requests would be hedged too early.
+void
+ServicePool::AssumeLatencies(TimePoint aNow)
+{
+  if (!IsBalanced(aNow)) {
+    return;
+  }
+  std::vector<KnownLatency> latencies;
+  for (const auto& replica : mReplicas) {
+    latencies.push_back({ replica->mLoad.HasSample()
+                            ? std::optional(replica->mLoad.ExpectedLatency(aNow))
+                            : std::nullopt,
+                          replica->mIsRemote });
+  }
+  for (const auto& replica : mReplicas) {
+    replica->mLoad.SetInitialLatency(AssumedLatency(latencies, replica->mIsRemote));
+  }
+}
+
+} // namespace wasabispar
--- a/src/wasabispar/routing/route.cpp
+++ b/src/wasabispar/routing/route.cpp
@@ -35,6 +35,9 @@
   , mLimits(aLimits)
 {
   for (auto& route : aRoutes) {
+    if (const auto* fanOut = std::get_if<FanOutTarget>(&route.mTarget)) {
+      mShards.insert(fanOut->mShards.begin(), fanOut->mShards.end());
+    }
     mRoutesByHost[HostKey(route.mHost)].push_back(std::move(route));
   }
   for (auto& [host, routes] : mRoutesByHost) {
--- /dev/null
+++ b/tests/gateway/even_load_test.cpp
@@ -0,0 +1,101 @@
+/// @file
+/// @brief Tests of the services whose requests are balanced over their upstreams.
+#include "gateway_fixture.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace wasabispar;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int kRequests = 60;
+
+/// Two upstreams of service `s`, which answer faster than first expected.
+struct TwoUpstreams : GatewayFixture
+{
+  FakeUpstream& mFirst;
+  FakeUpstream& mSecond;
+
+  TwoUpstreams()
+    : mFirst(Add("s", "first"))
+    , mSecond(Add("s", "second"))
+  {
+    SetRoutes({ MakeRoute("read", ServiceName("s")) });
+    OnWorker([this] {
+      mFirst.mDelay = 8ms;
+      mSecond.mDelay = 8ms;
+    });
+  }
+
+  void StateLoad(FakeUpstream& aUpstream, const std::string& aLoad)
+  {
+    OnWorker([&] { aUpstream.mExtraHeaders = { { "Test-Load", aLoad } }; });
+  }
+
+  void SendMany()
+  {
+    for (int i = 0; i < kRequests; ++i) {
+      CHECK(SendAndWait("/read/1").mResponse.mStatus == 200);
+    }
+  }
+
+  bool IsOneIdle() const { return mFirst.Requests() == 0 || mSecond.Requests() == 0; }
+};
+
+} // namespace
+
+/// Guards against a change for fleets that are served well by the lowest cost.
+TEST_CASE_FIXTURE(TwoUpstreams, "a small fleet chooses the lowest cost")
+{
+  SendMany();
+  CHECK(IsOneIdle());
+}
+
+/// Guards against an upstream that stays idle, because the first one that was tried
+/// answers faster than the initial estimate of the other.
+TEST_CASE_FIXTURE(TwoUpstreams, "a large fleet uses all upstreams of a single service")
+{
+  SetLargeFleet();
+  SendMany();
+  CHECK(mFirst.Requests() >= kRequests / 4);
+  CHECK(mSecond.Requests() >= kRequests / 4);
+}
+
+TEST_CASE_FIXTURE(TwoUpstreams, "a large fleet chooses the lowest cost for shards")
+{
+  FanOutTarget target;
+  target.mShards = { ServiceName("s") };
+  SetRoutes({ MakeRoute("read", target) });
+  SetLargeFleet();
+  SendMany();
+  CHECK(IsOneIdle());
+}
+
+/// Guards against an upstream that gets requests although it states that it has more of
+/// them than the other.
+TEST_CASE_FIXTURE(TwoUpstreams,
+                  "an upstream that states a higher load gets fewer requests")
+{
+  StateLoad(mFirst, "0");
+  StateLoad(mSecond, "9");
+  SendMany();
+  CHECK(mSecond.Requests() > 0);
+  CHECK(mSecond.Requests() < kRequests / 4);
+}
+
+/// Guards against upstreams that are used unevenly, or lost, because of a malformed load.
+TEST_CASE_FIXTURE(TwoUpstreams, "a malformed load is counted and has no effect")
+{
+  StateLoad(mFirst, "malformed");
+  StateLoad(mSecond, "malformed");
+  SendMany();
+  CHECK(IsOneIdle());
+  OnWorker([this] {
+    CHECK(MetricsUnderTest()
+            .Counter("wasabispar_gateway_load_reports_ignored_total",
+                     "Answers in which an upstream stated a malformed load.",
+                     { { "service", "s" } })
+            .Value() == kRequests);
+  });
+}
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -15,6 +15,8 @@
 constexpr auto kSignatureHeader = "Test-Signature";
 constexpr auto kLeavingHeader = "Test-Leaving";
 constexpr auto kLimitHeader = "Test-Limit";
+/// Running requests, or "malformed".
+constexpr auto kLoadHeader = "Test-Load";
 constexpr auto kQuietHeader = "Test-Quiet-Ms";
 
 /// The test protocol between callers and the gateway.
@@ -97,6 +99,12 @@
     if (const auto limit = aResponse.Header(kLimitHeader); !limit.empty()) {
       reply.mRequestLimit = std::stod(std::string(limit));
     }
+    if (const auto load = aResponse.Header(kLoadHeader); load == "malformed") {
+      reply.mInvalidLoad = load;
+    } else if (!load.empty()) {
+      reply.mLoad =
+        LoadReport{ static_cast<std::uint32_t>(std::stoul(std::string(load))), 0, 4, {} };
+    }
     if (const auto quiet = aResponse.Header(kQuietHeader); !quiet.empty()) {
       reply.mQuietTime = std::chrono::milliseconds(std::stoll(std::string(quiet)));
     }
@@ -254,6 +262,7 @@
     return RegionId(aDataCentre.Text());
   };
   options.mPools.mExtraLoad.mReserve = 100;
+  options.mIsLargeFleet = [this] { return mIsLargeFleet; };
   options.mOnLeavingAnnounced = [this](const UpstreamRecord& aRecord) {
     mGateway->OnUpstreamChanges(mDirectory.OnLeavingAnnounced(aRecord, BootClock::now()));
   };
@@ -268,6 +277,14 @@
   mWorker.Stop();
 }
 
+void
+GatewayFixture::SetLargeFleet()
+{
+  OnWorker([this] { mIsLargeFleet = true; });
+  // Longer than the period of the gateway's maintenance.
+  std::this_thread::sleep_for(std::chrono::milliseconds(400));
+}
+
 FakeUpstream&
 GatewayFixture::Add(const std::string& aService, const std::string& aId,
                     const std::string& aDataCentre)
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -141,6 +141,10 @@
   /// @brief Runs @p aFn on the worker and waits for it.
   void OnWorker(const std::function<void()>& aFn);
   Gateway& GatewayUnderTest() { return *mGateway; }
+  Metrics& MetricsUnderTest() { return mMetrics; }
+  /// @brief Sets what GatewayOptions::mIsLargeFleet returns, and waits until the gateway
+  /// has read it.
+  void SetLargeFleet();
   /// @brief Writes the entry of an upstream to the registry once more, as serving.
   void WriteAgain(const FakeUpstream& aUpstream, const std::string& aService);
 
@@ -158,6 +162,8 @@
   /// Version of the current route table.
   std::uint64_t mVersion = 0;
   std::uint64_t mNextId = 0;
+  /// Used on the worker.
+  bool mIsLargeFleet = false;
   /// Of the last request sent.
   std::shared_ptr<DisconnectNotifier> mLastDisconnectNotifier;
 };
--- a/tests/gateway/permitted_regions_test.cpp
+++ b/tests/gateway/permitted_regions_test.cpp
@@ -52,6 +52,7 @@
       return RegionId(aDataCentre.Text());
     };
     ServicePool pool(context, options);
+    pool.SetBalanced(*rc::gen::arbitrary<bool>());
     std::map<UpstreamId, RegionId> usable;
     const auto count = *rc::gen::inRange(0, 8);
     for (int i = 0; i < count; ++i) {
