--- a/include/wasabispar/gateway/protocol.hpp
+++ b/include/wasabispar/gateway/protocol.hpp
@@ -7,6 +7,7 @@
 #include "wasabispar/base/clock.hpp"
 #include "wasabispar/base/ids.hpp"
 #include "wasabispar/net/http_types.hpp"
+#include "wasabispar/routing/reported_load.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -71,6 +72,10 @@
   std::optional<Duration> mWarmupLeft{};
   /// The value that was stated instead of a valid mWarmupLeft; empty if there was none.
   std::string mInvalidWarmup{};
+  /// The load of the upstream; empty if it states none. Valid as mIsLeaving.
+  std::optional<LoadReport> mLoad;
+  /// The value that was stated instead of a valid mLoad; empty if there was none.
+  std::string mInvalidLoad;
   /// The response to forward, without hop-by-hop headers.
   HttpResponse mResponse;
 };
--- a/include/wasabispar/gateway/service_pool.hpp
+++ b/include/wasabispar/gateway/service_pool.hpp
@@ -9,9 +9,9 @@
 #include "wasabispar/base/timer_service.hpp"
 #include "wasabispar/fleet/regional_quota.hpp"
 #include "wasabispar/net/connection_pool.hpp"
-#include "wasabispar/routing/connection_pressure.hpp"
 #include "wasabispar/routing/cold_limit.hpp"
 #include "wasabispar/routing/cold_state.hpp"
+#include "wasabispar/routing/connection_pressure.hpp"
 #include "wasabispar/routing/crash_limiter.hpp"
 #include "wasabispar/routing/extra_load_window.hpp"
 #include "wasabispar/routing/outage_watch.hpp"
@@ -19,6 +19,7 @@
 #include "wasabispar/routing/placement_scope.hpp"
 #include "wasabispar/routing/quiet_period.hpp"
 #include "wasabispar/routing/replica_load.hpp"
+#include "wasabispar/routing/reported_load.hpp"
 #include "wasabispar/routing/request_interval.hpp"
 #include "wasabispar/routing/request_limit.hpp"
 #include "wasabispar/routing/upstream_directory.hpp"
@@ -88,6 +89,10 @@
   RequestLimit mRequestLimit;
   /// Never null.
   std::shared_ptr<ColdUpstream> mCold;
+  /// The load that the upstream states.
+  ReportedLoad mReportedLoad;
+  /// The last load that the upstream stated was malformed.
+  bool mHasInvalidLoad = false;
   std::shared_ptr<ConnectionPool> mConnectionPool;
   /// Probes the upstream after a lost exchange.
   Subscription mProbeTimer;
@@ -213,6 +218,10 @@
   /// periodically.
   void Tick();
 
+  /// @brief Sets whether ChooseBalanced() decides also if no upstream states its load.
+  void SetBalanced(bool aIsBalanced) { mIsBalanced = aIsBalanced; }
+  /// @brief Whether ChooseBalanced() decides; otherwise ChooseCandidate().
+  bool IsBalanced(TimePoint aNow) const;
   /// @brief A request, or a part of one, arrived for the service.
   void OnRequest(TimePoint aNow);
   /// @brief Chooses the best usable upstream in @p aScope.
@@ -326,6 +335,12 @@
   void MarkEvacuated(Replica& aReplica);
   /// Whether connections to other regions are left to the VMs there.
   bool IsUnderConnectionPressure(TimePoint aNow) const;
+  /// The mIndex of the candidate for the next request; empty when all are at a limit.
+  std::optional<std::size_t> ChooseIndex(std::vector<ReplicaCandidate> aCandidates,
+                                         TimePoint aNow) const;
+  /// Expects the same response time of upstreams that have not answered yet as of the
+  /// others at the same distance.
+  void AssumeLatencies(TimePoint aNow);
   /// The usable and reachable upstreams in the scope. Each choice for a request is made
   /// among them.
   std::vector<ReplicaCandidate> Candidates(const PlacementScope& aScope,
@@ -345,6 +360,7 @@
   RandomFn mRandom;
   ExtraLoadWindow mExtraLoad;
   RequestInterval mRequestInterval;
+  bool mIsBalanced = false;
   /// For DispatchLater().
   Subscription mDispatchTimer;
 };
--- a/src/wasabispar/gateway/active_request.cpp
+++ b/src/wasabispar/gateway/active_request.cpp
@@ -266,6 +266,7 @@
   mGateway.OnRequestLimit(*aPart.mServicePool, *aExchange.mReplica, aReply,
                           aExchange.mSentAt);
   mGateway.OnWarmupStated(*aPart.mServicePool, *aExchange.mReplica, aReply);
+  mGateway.OnLoadReport(*aExchange.mReplica, aReply, aNow);
   switch (aReply.mKind) {
     case UpstreamReply::Kind::Answer:
       load.OnAnswered(aExchange.mId, aNow);
--- a/src/wasabispar/gateway/active_request_send.cpp
+++ b/src/wasabispar/gateway/active_request_send.cpp
@@ -180,6 +180,7 @@
   aReplica->mLoad.OnSent(exchange, now);
   aReplica->mRequestLimit.OnSent(now);
   part.mServicePool->OnChosen(*aReplica, exchange, now);
+  aReplica->mReportedLoad.OnSent();
 
   PooledRequest pooled;
   pooled.mMakeRequest = [self = shared_from_this(),
