Wait queue: late requests follow the others of their priority

Cause: the queue was ordered by the last time at which an answer is on time, so in an overload the late requests went first, and each made another one late.

Tests: "late requests follow the others of their priority", "in an overload, most of what the service runs is on time" (900 of 1000).

--- a/include/wasabispar/routing/wait_queue.hpp
+++ b/include/wasabispar/routing/wait_queue.hpp
@@ -11,7 +11,12 @@
 namespace wasabispar {
 
 /// @brief Starts waiting requests in the order of their priority, then of the last time
-/// at which an answer is on time. Not thread-safe.
+/// at which an answer is on time. Those for which it has passed follow the others of
+/// their priority. Not thread-safe.
+///
+/// Load pattern: callers compete for too little room. If late requests kept their place,
+/// each one would make another late, and all answers would be late until the burst is
+/// over.
 class WaitQueue
 {
 public:
@@ -36,19 +41,21 @@
   void Cancel(EntryId aId);
   /// @brief Starts requests from the head of the queue. Skips requests that can't start,
   /// and stops after a few of them.
-  void Dispatch();
+  void Dispatch(TimePoint aNow);
   /// @brief Number of waiting requests.
   std::size_t Length() const { return mWaiting.size(); }
-  /// @brief Number of waiting requests that would start before a new request with this
-  /// priority and time.
-  std::size_t CountAhead(std::uint32_t aPriority, TimePoint aAnswerBy) const;
+  /// @brief Number of waiting requests that would start at @p aNow before a new request
+  /// with this priority and time.
+  std::size_t CountAhead(std::uint32_t aPriority, TimePoint aAnswerBy,
+                         TimePoint aNow) const;
 
 private:
-  /// The order of the queue; the id keeps requests of the same urgency in order of
-  /// arrival.
+  /// The order of the queue, except that late requests follow those of their priority;
+  /// the id keeps requests of the same urgency in order of arrival.
   struct Key
   {
-    std::uint32_t mPriority = 0;
+    /// Wider than a priority, so that there is a next one.
+    std::uint64_t mPriority = 0;
     TimePoint mAnswerBy;
     EntryId mId = 0;
     auto operator<=>(const Key&) const = default;
@@ -60,6 +67,16 @@
     StartFn mStart;
   };
 
+  /// Numbers of entries that Dispatch() may still skip.
+  struct SkipBudget
+  {
+    std::size_t mUnlimited = 0;
+    std::size_t mLimited = 0;
+  };
+  /// Starts the entries from @p aFirst on and before @p aEnd; returns false once too many
+  /// were skipped.
+  bool DispatchRange(const Key& aFirst, const Key& aEnd, SkipBudget& aBudget);
+
   EntryId mNextId = 1;
   std::map<Key, Entry> mWaiting;
   /// Invariant: holds the key of each element of mWaiting.
--- a/src/wasabispar/gateway/active_request_send.cpp
+++ b/src/wasabispar/gateway/active_request_send.cpp
@@ -27,8 +27,8 @@
   switch (placement.mKind) {
     case PlacementResult::Kind::Found:
       // Requests that are ahead in the queue are sent first.
-      if (part.mServicePool->Queue().CountAhead(mRoute.mPriority,
-                                                mFanOutState.AnswerBy()) == 0) {
+      if (part.mServicePool->Queue().CountAhead(mRoute.mPriority, mFanOutState.AnswerBy(),
+                                                now) == 0) {
         Send(aPart, placement.mReplica, aStep);
         return;
       }
@@ -78,8 +78,9 @@
 {
   auto& part = mParts[aPart];
   auto& queue = part.mServicePool->Queue();
-  const auto ahead = queue.CountAhead(mRoute.mPriority, mFanOutState.AnswerBy());
-  mTrace.Add(TraceStep::Queued, aPart, {}, ahead, BootClock::now());
+  const auto now = BootClock::now();
+  const auto ahead = queue.CountAhead(mRoute.mPriority, mFanOutState.AnswerBy(), now);
+  mTrace.Add(TraceStep::Queued, aPart, {}, ahead, now);
   const auto reach = part.mScope.mRegions.AreAll() ? WaitQueue::Reach::AllUpstreams
                                                    : WaitQueue::Reach::SomeUpstreams;
   part.mQueueEntry = queue.Push(mRoute.mPriority, mFanOutState.AnswerBy(), reach,
--- a/src/wasabispar/gateway/service_pool.cpp
+++ b/src/wasabispar/gateway/service_pool.cpp
@@ -279,7 +279,7 @@
 void
 ServicePool::DispatchQueue()
 {
-  mQueue.Dispatch();
+  mQueue.Dispatch(BootClock::now());
   if (mQueue.Length() > 0) {
     DispatchLater(BootClock::now());
   }
@@ -436,7 +436,7 @@
 ServicePool::ExpectedWait(const PermittedRegions& aRegions, std::uint32_t aPriority,
                           TimePoint aAnswerBy, TimePoint aNow) const
 {
-  const auto ahead = mQueue.CountAhead(aPriority, aAnswerBy);
+  const auto ahead = mQueue.CountAhead(aPriority, aAnswerBy, aNow);
   const auto candidates = Candidates({ aRegions, {} }, aNow);
   const bool isAtLimit =
     !candidates.empty() &&
--- a/src/wasabispar/routing/wait_queue.cpp
+++ b/src/wasabispar/routing/wait_queue.cpp
@@ -41,35 +41,64 @@
 }
 
 void
-WaitQueue::Dispatch()
+WaitQueue::Dispatch(TimePoint aNow)
 {
   // A started request may end at once and call this function again.
   if (mIsDispatching) {
     return;
   }
   mIsDispatching = true;
-  std::size_t skipped = 0;
-  std::size_t skippedLimited = 0;
-  auto next = mWaiting.begin();
-  while (next != mWaiting.end() && skipped < kMaxSkippedRequests &&
-         skippedLimited < kMaxSkippedLimitedRequests) {
+  SkipBudget budget{ kMaxSkippedRequests, kMaxSkippedLimitedRequests };
+  bool goesOn = true;
+  for (auto next = mWaiting.begin(); goesOn && next != mWaiting.end();) {
+    const auto priority = next->first.mPriority;
+    const Key first{ priority, TimePoint::min(), 0 };
+    const Key firstOnTime{ priority, aNow, 0 };
+    const Key end{ priority + 1, TimePoint::min(), 0 };
+    goesOn = DispatchRange(firstOnTime, end, budget) &&
+             DispatchRange(first, firstOnTime, budget);
+    next = mWaiting.lower_bound(end);
+  }
+  mIsDispatching = false;
+}
+
+bool
+WaitQueue::DispatchRange(const Key& aFirst, const Key& aEnd, SkipBudget& aBudget)
+{
+  for (auto next = mWaiting.lower_bound(aFirst);
+       next != mWaiting.end() && next->first < aEnd;) {
     const auto key = next->first;
     const auto entry = next->second;
     if (entry.mStart()) {
       Cancel(key.mId);
     } else {
-      ++(entry.mReach == Reach::AllUpstreams ? skipped : skippedLimited);
+      auto& left =
+        entry.mReach == Reach::AllUpstreams ? aBudget.mUnlimited : aBudget.mLimited;
+      if (--left == 0) {
+        return false;
+      }
     }
     next = mWaiting.upper_bound(key);
   }
-  mIsDispatching = false;
+  return true;
 }
 
 std::size_t
-WaitQueue::CountAhead(std::uint32_t aPriority, TimePoint aAnswerBy) const
+WaitQueue::CountAhead(std::uint32_t aPriority, TimePoint aAnswerBy, TimePoint aNow) const
 {
-  const auto end = mWaiting.lower_bound(Key{ aPriority, aAnswerBy, 0 });
-  return static_cast<std::size_t>(std::distance(mWaiting.begin(), end));
+  const auto count = [this](const Key& aFirst, const Key& aEnd) {
+    return static_cast<std::size_t>(
+      std::distance(mWaiting.lower_bound(aFirst), mWaiting.lower_bound(aEnd)));
+  };
+  const Key first{ aPriority, TimePoint::min(), 0 };
+  const Key firstOnTime{ aPriority, aNow, 0 };
+  const Key own{ aPriority, aAnswerBy, 0 };
+  const auto moreUrgent = count({ 0, TimePoint::min(), 0 }, first);
+  if (aAnswerBy >= aNow) {
+    return moreUrgent + count(firstOnTime, own);
+  }
+  const Key end{ first.mPriority + 1, TimePoint::min(), 0 };
+  return moreUrgent + count(firstOnTime, end) + count(first, own);
 }
 
 } // namespace wasabispar
--- a/src/wasabispar/routing/wait_queue_test.cpp
+++ b/src/wasabispar/routing/wait_queue_test.cpp
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 
+#include <limits>
 #include <string>
 
 using namespace wasabispar;
@@ -45,11 +46,68 @@
   fixture.Push('b', 1, 90ms);
   fixture.Push('c', 1, 50ms);
   fixture.mFreeSlots = 2;
-  fixture.mQueue.Dispatch();
+  fixture.mQueue.Dispatch(kNow);
   CHECK(fixture.mStarted == "cb");
   CHECK(fixture.mQueue.Length() == 1);
 }
 
+/// Guards against late requests that make the others late, too, and against urgent ones
+/// that wait behind less urgent ones because they are late.
+TEST_CASE("late requests follow the others of their priority")
+{
+  Fixture fixture;
+  fixture.Push('a', 1, -20ms);
+  fixture.Push('b', 1, -10ms);
+  fixture.Push('c', 1, 30ms);
+  fixture.Push('d', 2, 5ms);
+  fixture.Push('e', 1, 10ms);
+  CHECK(fixture.mQueue.CountAhead(1, kNow + 20ms, kNow) == 1);
+  CHECK(fixture.mQueue.CountAhead(1, kNow - 15ms, kNow) == 3);
+  CHECK(fixture.mQueue.CountAhead(2, kNow + 1ms, kNow) == 4);
+  fixture.mFreeSlots = 5;
+  fixture.mQueue.Dispatch(kNow);
+  CHECK(fixture.mStarted == "ecabd");
+}
+
+/// Load pattern: for a second, half as many requests again as the service can run; each
+/// is on time if it starts within 50 ms.
+TEST_CASE("load pattern: in an overload, most of what the service runs is on time")
+{
+  constexpr auto kObjective = 50ms;
+  Fixture fixture;
+  int onTime = 0;
+  int started = 0;
+  auto now = kNow;
+  for (int i = 0; i < 1000; ++i, now += 1ms) {
+    for (int k = 0; k < (i % 2 == 0 ? 1 : 2); ++k) {
+      const auto answerBy = now + kObjective;
+      fixture.mQueue.Push(1, answerBy, WaitQueue::Reach::AllUpstreams, [&, answerBy] {
+        if (fixture.mFreeSlots == 0) {
+          return false;
+        }
+        --fixture.mFreeSlots;
+        ++started;
+        onTime += now <= answerBy ? 1 : 0;
+        return true;
+      });
+    }
+    fixture.mFreeSlots = 1;
+    fixture.mQueue.Dispatch(now);
+  }
+  CHECK(started == 1000);
+  CHECK(onTime >= 900);
+}
+
+TEST_CASE("the highest priority number has a place in the queue")
+{
+  Fixture fixture;
+  fixture.Push('a', std::numeric_limits<std::uint32_t>::max(), 10ms);
+  fixture.Push('b', 0, 10ms);
+  fixture.mFreeSlots = 2;
+  fixture.mQueue.Dispatch(kNow);
+  CHECK(fixture.mStarted == "ba");
+}
+
 /// Guards against requests that wait for a busy region and hold up all others.
 TEST_CASE("many requests that only some upstreams may run hold up no others")
 {
@@ -59,7 +117,7 @@
   }
   fixture.Push('b', 1, 20ms);
   fixture.mFreeSlots = 1;
-  fixture.mQueue.Dispatch();
+  fixture.mQueue.Dispatch(kNow);
   CHECK(fixture.mStarted == "b");
 }
 
@@ -69,7 +127,7 @@
   fixture.Push('a', 1, 10ms, false);
   fixture.Push('b', 1, 20ms);
   fixture.mFreeSlots = 1;
-  fixture.mQueue.Dispatch();
+  fixture.mQueue.Dispatch(kNow);
   CHECK(fixture.mStarted == "b");
   CHECK(fixture.mQueue.Length() == 1);
 }
@@ -81,7 +139,7 @@
   fixture.mQueue.Cancel(id);
   fixture.mQueue.Cancel(id);
   fixture.mFreeSlots = 1;
-  fixture.mQueue.Dispatch();
+  fixture.mQueue.Dispatch(kNow);
   CHECK(fixture.mStarted.empty());
 }
 
@@ -90,9 +148,9 @@
   Fixture fixture;
   fixture.Push('a', 1, 10ms);
   fixture.Push('b', 2, 10ms);
-  CHECK(fixture.mQueue.CountAhead(1, kNow + 5ms) == 0);
-  CHECK(fixture.mQueue.CountAhead(1, kNow + 20ms) == 1);
-  CHECK(fixture.mQueue.CountAhead(2, kNow + 20ms) == 2);
+  CHECK(fixture.mQueue.CountAhead(1, kNow + 5ms, kNow) == 0);
+  CHECK(fixture.mQueue.CountAhead(1, kNow + 20ms, kNow) == 1);
+  CHECK(fixture.mQueue.CountAhead(2, kNow + 20ms, kNow) == 2);
 }
 
 TEST_CASE("a starting request may cancel others and dispatch the queue again")
@@ -102,12 +160,12 @@
   bool started = false;
   queue.Push(1, kNow, WaitQueue::Reach::AllUpstreams, [&] {
     queue.Cancel(second);
-    queue.Dispatch();
+    queue.Dispatch(kNow);
     return true;
   });
   second = queue.Push(1, kNow + 1ms, WaitQueue::Reach::AllUpstreams,
                       [&] { return started = true; });
-  queue.Dispatch();
+  queue.Dispatch(kNow);
   CHECK_FALSE(started);
   CHECK(queue.Length() == 0);
 }
