Shares of limits: remember lost VMs for four hours in a minority view

Cause (review): a side of a partition forgot the others after 15 minutes and then held whole limits, as the other side does after five. Regions may lose contact for an hour.

--- a/include/wasabispar/routing/sharing_vms.hpp
+++ b/include/wasabispar/routing/sharing_vms.hpp
@@ -25,8 +25,8 @@
   /// 200; until then it uses its share.
   Duration mRetention = std::chrono::minutes(5);
   /// The same in a view of at most half of the VMs, which is likely a side of a
-  /// partition.
-  Duration mMinorityRetention = std::chrono::minutes(15);
+  /// partition. Regions may lose contact for an hour.
+  Duration mMinorityRetention = std::chrono::hours(4);
   /// Without an update for this time, the process was paused, and this VM has no share.
   Duration mMaxUpdateAge = std::chrono::seconds(5);
 };
