--- a/src/wasabispar/gateway/evacuation.cpp
+++ b/src/wasabispar/gateway/evacuation.cpp
@@ -86,16 +86,17 @@
   for (const auto& [name, pool] : mPools) {
     pool->SetEvacuated(mEvacuated);
   }
-  // Requests that end here remove themselves.
-  const auto activeRequests = mActiveRequests;
-  for (const auto& request : activeRequests) {
-    request->OnEvacuation();
-  }
+  // Before a request is placed there again.
   for (const auto& dataCentre : before) {
     if (!mEvacuated.contains(dataCentre)) {
       OnEvacuationEnded(dataCentre);
     }
   }
+  // Requests that end here remove themselves.
+  const auto activeRequests = mActiveRequests;
+  for (const auto& request : activeRequests) {
+    request->OnEvacuation();
+  }
   // Upstreams that are no longer evacuated take the requests that wait.
   for (const auto& [name, pool] : mPools) {
     pool->DispatchQueue();
