--- a/src/wasabispar/gateway/active_request_send.cpp
+++ b/src/wasabispar/gateway/active_request_send.cpp
@@ -250,7 +250,9 @@
   }
   const auto placement = part.mServicePool->Choose(part.mScope, aNow);
   if (placement.mKind == PlacementResult::Kind::Busy) {
-    part.mHedgeAt = aNow + kHedgeRecheckDelay;
+    // All upstreams may be cold and at their limit for seconds.
+    const auto coldWait = part.mServicePool->ColdWait(part.mScope, aNow);
+    part.mHedgeAt = aNow + std::max(kHedgeRecheckDelay, coldWait.value_or(Duration{}));
     return;
   }
   if (placement.mKind == PlacementResult::Kind::None) {
