--- a/src/wasabispar/gateway/service_pool_balance.cpp
+++ b/src/wasabispar/gateway/service_pool_balance.cpp
@@ -40,6 +40,9 @@
   }
   std::vector<KnownLatency> latencies;
   for (const auto& replica : mReplicas) {
+    if (!replica->IsUsable()) {
+      continue;
+    }
     latencies.push_back({ replica->mLoad.HasSample()
                             ? std::optional(replica->mLoad.ExpectedLatency(aNow))
                             : std::nullopt,
