Service pool: follow an entry that names another data centre; other findings of the review

Cause (review, and the worker of evacuation): the region of an upstream was set once, so that an entry with another data centre left it in the old region. Also: connection pressure counted a cold upstream at its limit as one that can serve; the timer for limited upstreams was not set while another one was only at its limit of exchanges; each choice copied its candidates. Test: "an entry that names another data centre moves its upstream".

--- a/include/wasabispar/gateway/service_pool.hpp
+++ b/include/wasabispar/gateway/service_pool.hpp
@@ -331,6 +331,8 @@
   /// Withdraws the requests that wait for a connection to the upstream, so that they are
   /// placed again.
   void WithdrawQueued(Replica& aReplica);
+  /// Sets what follows from the data centre of an upstream.
+  void UpdateLocation(Replica& aReplica);
   /// Updates the mark of an upstream from mEvacuated.
   void MarkEvacuated(Replica& aReplica);
   /// Whether connections to other regions are left to the VMs there.
--- a/src/wasabispar/gateway/service_pool.cpp
+++ b/src/wasabispar/gateway/service_pool.cpp
@@ -6,7 +6,6 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
-#include <functional>
 #include <utility>
 
 namespace wasabispar {
@@ -127,9 +126,10 @@
   }
   if (existing && aChange.mKind != UpstreamChange::Kind::Replaced) {
     OnEntry(*existing, aChange.mRecord, BootClock::now());
+    const auto region = existing->mRegion;
     existing->mRecord = aChange.mRecord;
-    MarkEvacuated(*existing);
-    if (!existing->IsUsable()) {
+    UpdateLocation(*existing);
+    if (!existing->IsUsable() || existing->mRegion != region) {
       WithdrawQueued(*existing);
     }
     return false;
@@ -215,6 +215,16 @@
   return hooks;
 }
 
+/// An entry may name another data centre for the same incarnation.
+void
+ServicePool::UpdateLocation(Replica& aReplica)
+{
+  const auto& dataCentre = aReplica.mRecord.mDataCentre;
+  aReplica.mIsRemote = mOptions.mIsRemote && mOptions.mIsRemote(dataCentre);
+  aReplica.mRegion = mOptions.mRegionOf ? mOptions.mRegionOf(dataCentre) : RegionId();
+  MarkEvacuated(aReplica);
+}
+
 ReplicaPtr
 ServicePool::Create(const UpstreamRecord& aRecord)
 {
@@ -290,8 +300,16 @@
 {
   /// Requests that become possible within this time are started together.
   constexpr Duration kMinDelay = std::chrono::milliseconds(2);
-  const auto next = NextSendAt({}, aNow);
-  if (!mOptions.mTimers || !next || *next <= aNow) {
+  // An upstream that may get a request now is at its limit of exchanges; the end of one
+  // starts the next.
+  std::optional<TimePoint> next;
+  for (const auto& replica : mReplicas) {
+    const auto at = NextSendAt(*replica, aNow);
+    if (replica->IsUsable() && !replica->IsUnreachable() && at > aNow) {
+      next = std::min(next.value_or(at), at);
+    }
+  }
+  if (!mOptions.mTimers || !next) {
     return;
   }
   mDispatchTimer = mOptions.mTimers->After(std::max(*next - aNow, kMinDelay),
@@ -341,7 +359,9 @@
                            NextSendAt(replica, aNow) > aNow });
   }
   const bool hasLocal =
-    std::ranges::any_of(candidates, std::logical_not<>(), &ReplicaCandidate::mIsRemote);
+    std::ranges::any_of(candidates, [](const ReplicaCandidate& aCandidate) {
+      return !aCandidate.mIsRemote && !aCandidate.mIsAtRequestLimit;
+    });
   if (hasLocal && IsUnderConnectionPressure(aNow)) {
     std::erase_if(candidates, [this](const ReplicaCandidate& aCandidate) {
       return aCandidate.mIsRemote && mReplicas[aCandidate.mIndex]->mConnections == 0;
@@ -359,11 +379,11 @@
 PlacementResult
 ServicePool::Choose(const PlacementScope& aScope, TimePoint aNow) const
 {
-  const auto candidates = Candidates(aScope, aNow);
+  auto candidates = Candidates(aScope, aNow);
   if (candidates.empty()) {
     return { PlacementResult::Kind::None, nullptr };
   }
-  const auto chosen = ChooseIndex(candidates, aNow);
+  const auto chosen = ChooseIndex(std::move(candidates), aNow);
   if (!chosen) {
     return { PlacementResult::Kind::Busy, nullptr };
   }
--- a/tests/gateway/permitted_regions_test.cpp
+++ b/tests/gateway/permitted_regions_test.cpp
@@ -109,6 +109,19 @@
   CHECK(mSouth.Requests() == 0);
 }
 
+/// Guards against a region that is remembered from an upstream's first entry.
+TEST_CASE_FIXTURE(TwoRegions,
+                  "an entry that names another data centre moves its upstream")
+{
+  RouteToNorth();
+  CHECK(SendAndWait("/read/1").mResponse.mStatus == 200);
+  OnWorker([&] { mNorth.mDataCentre = "south"; });
+  WriteAgain(mNorth, "s");
+  const auto before = mNorth.Requests();
+  CHECK(SendAndWait("/read/1").mResponse.mStatus == 599);
+  CHECK(mNorth.Requests() == before);
+}
+
 /// Guards against a request that waits until its deadline although no upstream may run
 /// it.
 TEST_CASE_FIXTURE(TwoRegions, "a request without a permitted upstream is refused at once")
