--- a/src/wasabispar/app/fleet_service.cpp
+++ b/src/wasabispar/app/fleet_service.cpp
@@ -259,6 +259,10 @@
 std::shared_ptr<const MemberView>
 FleetService::View() const
 {
+  if (!mMembership) {
+    static const auto kEmpty = std::make_shared<const MemberView>();
+    return kEmpty;
+  }
   return mMembership->View();
 }
 
