--- a/include/wasabispar/routing/permitted_regions.hpp
+++ b/include/wasabispar/routing/permitted_regions.hpp
@@ -23,6 +23,8 @@
   bool Permits(const RegionId& aRegion) const;
   /// @brief Whether all regions are permitted.
   bool AreAll() const { return mRegions == nullptr; }
+  /// @brief The permitted regions; empty also if all regions are permitted.
+  std::set<RegionId> Named() const;
   /// @brief The regions that both permit; possibly none.
   PermittedRegions Intersect(const PermittedRegions& aOther) const;
 
--- a/include/wasabispar/routing/route.hpp
+++ b/include/wasabispar/routing/route.hpp
@@ -33,6 +33,8 @@
 {
   ServiceName mService;
   std::uint32_t mWeight = 1;
+
+  bool operator==(const WeightedService&) const = default;
 };
 
 /// @brief Target of a split route: each request goes to one of the services, in
@@ -124,6 +126,13 @@
   bool IsShard(const ServiceName& aName) const { return mShards.contains(aName); }
   RouteTableVersion Version() const { return mVersion; }
   const CallerLimits& Limits() const { return mLimits; }
+  /// @brief The routes by lower-case host without port; those with longer prefixes come
+  /// first.
+  const std::map<std::string, std::vector<Route>, std::less<>>& RoutesByHost() const
+  {
+    return mRoutesByHost;
+  }
+  const std::map<ServiceName, ServiceDefinition>& Services() const { return mServices; }
   /// @brief Number of routes of all hosts.
   std::size_t RouteCount() const;
   /// @brief Number of routes whose requests may not be served in all regions.
--- a/src/wasabispar/routing/permitted_regions.cpp
+++ b/src/wasabispar/routing/permitted_regions.cpp
@@ -22,6 +22,12 @@
   return AreAll() || (!aRegion.IsEmpty() && mRegions->contains(aRegion));
 }
 
+std::set<RegionId>
+PermittedRegions::Named() const
+{
+  return AreAll() ? std::set<RegionId>() : *mRegions;
+}
+
 PermittedRegions
 PermittedRegions::Intersect(const PermittedRegions& aOther) const
 {
