HTTP server: count request bodies and unread responses against a memory budget

A caller that did not read kept its whole response for the read timeout, in any number, and bodies were not counted. MemoryBudget divides the VM's memory into one share for each direction. With a budget, the server rejects at once (503, not run) what does not fit, and resets the connection without progress for longest when the share for waiting responses is used up, or after the read timeout without progress. Without a budget nothing changes. HttpSession moves to files of its own; a request's body can be shared by its copies.

--- a/include/wasabispar/net/budgeted_body.hpp
+++ b/include/wasabispar/net/budgeted_body.hpp
@@ -26,6 +26,8 @@
   {
     std::string mText;
     ByteBudget::Reservation mReservation;
+    /// Whether the budget was used up while the message was read.
+    bool mIsOverBudget = false;
     /// How much of mText the owner of the message has accounted for.
     std::size_t mCountedBytes = 0;
   };
@@ -51,6 +53,7 @@
     {
       const auto bytes = boost::asio::buffer_size(aBuffers);
       if (!mBody.mReservation.Grow(bytes)) {
+        mBody.mIsOverBudget = true;
         aError = boost::beast::http::error::body_limit;
         return 0;
       }
--- a/include/wasabispar/net/byte_budget.hpp
+++ b/include/wasabispar/net/byte_budget.hpp
@@ -1,5 +1,5 @@
 /// @file
-/// @brief A bound on the memory that the answers being read take together.
+/// @brief A bound on the memory that messages of one direction take together.
 ///
 /// Failure pattern: a server in trouble sends bytes without end. The bound of one answer
 /// does not bound the memory of a process that reads from hundreds of upstreams at once.
@@ -45,6 +45,9 @@
   }
   /// @brief The sum of all reservations.
   std::uint64_t Reserved() const { return mReserved; }
+  std::uint64_t Limit() const { return mLimit; }
+  /// @brief Bytes that can still be reserved.
+  std::uint64_t Available() const { return mLimit - mReserved; }
 
 private:
   std::uint64_t mLimit;
--- a/include/wasabispar/net/http_client.hpp
+++ b/include/wasabispar/net/http_client.hpp
@@ -55,6 +55,9 @@
   /// together, beyond the usual framing of chunks.
   std::uint32_t mMaxHeaderBytes = 32 * 1024;
   std::uint64_t mMaxBodyBytes = 4 * 1024 * 1024;
+  /// Whether the body stays counted in the budget until the response is destroyed
+  /// (HttpResponse::mReservedMemory), and not only while it is read.
+  bool mKeepsReservation = false;
 };
 
 /// @brief The result of an exchange.
--- a/include/wasabispar/net/http_types.hpp
+++ b/include/wasabispar/net/http_types.hpp
@@ -53,7 +53,15 @@
   std::string mPeer;
   /// Set only in received requests.
   std::shared_ptr<DisconnectNotifier> mDisconnectNotifier;
+  /// If set, the body of a request to send, in place of mBody. Copies of the request
+  /// share it, so that a request to many upstreams holds its body once.
+  std::shared_ptr<const std::string> mSharedBody = nullptr;
+  /// Keeps the memory of the body reserved until the last copy of the request is
+  /// destroyed. Null if it is not reserved.
+  std::shared_ptr<const void> mReservedMemory = nullptr;
 
+  /// @brief The body of a request to send.
+  const std::string& Body() const { return mSharedBody ? *mSharedBody : mBody; }
   /// @brief The path of mTarget without the query string.
   std::string_view Path() const;
   /// @brief The decoded value of parameter @p aName in the query string; empty if absent.
@@ -76,6 +84,9 @@
   std::string mBody;
   /// Closes the connection after sending this response.
   bool mCloseConnection = false;
+  /// Keeps the memory of a received body reserved until the last copy of the response is
+  /// destroyed. Null if it is not reserved.
+  std::shared_ptr<const void> mReservedMemory = nullptr;
 
   /// @brief The value of header @p aName, ignoring the case of the name; empty if absent.
   std::string_view Header(std::string_view aName) const;
--- a/src/wasabispar/net/http_client.cpp
+++ b/src/wasabispar/net/http_client.cpp
@@ -3,6 +3,7 @@
 #include "wasabispar/net/http_client.hpp"
 
 #include "wasabispar/net/budgeted_body.hpp"
+#include "wasabispar/net/shared_body.hpp"
 
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/io_context.hpp>
@@ -59,10 +60,10 @@
   return std::max<Duration>(Duration{}, std::chrono::seconds(seconds) - kKeepAliveMargin);
 }
 
-http::request<http::string_body>
+http::request<SharedBody>
 ToBeast(HttpRequest aRequest, const Endpoint& aEndpoint)
 {
-  http::request<http::string_body> message;
+  http::request<SharedBody> message;
   message.method_string(aRequest.mMethod);
   message.target(aRequest.mTarget);
   message.version(11);
@@ -72,11 +73,15 @@
   if (message[http::field::host].empty()) {
     message.set(http::field::host, aEndpoint.Text());
   }
-  if (!aRequest.mBody.empty()) {
+  if (!aRequest.Body().empty()) {
     if (!aRequest.mContentType.empty()) {
       message.set(http::field::content_type, aRequest.mContentType);
     }
-    message.body() = std::move(aRequest.mBody);
+    auto& body = message.body();
+    body.mText = aRequest.mSharedBody
+                   ? std::move(aRequest.mSharedBody)
+                   : std::make_shared<const std::string>(std::move(aRequest.mBody));
+    body.mReservedMemory = std::move(aRequest.mReservedMemory);
   }
   message.prepare_payload();
   return message;
@@ -138,7 +143,9 @@
   /// while an exchange runs.
   beast::tcp_stream mStream;
   beast::flat_buffer mBuffer;
-  http::request<http::string_body> mRequest;
+  /// Null between exchanges, so that an idle connection holds no body. The pending write
+  /// shares it.
+  std::shared_ptr<http::request<SharedBody>> mRequest;
   std::optional<http::response_parser<BudgetedBody>> mParser;
   /// Bytes read so far that are not part of a body.
   std::uint64_t mOverheadBytes = 0;
@@ -200,16 +207,18 @@
       EndExchange(HttpExchangeEnd::ConnectFailed, "connection closed by the peer");
       return;
     }
-    mRequest = ToBeast(std::move(aRequest), mEndpoint);
+    mRequest = std::make_shared<http::request<SharedBody>>(
+      ToBeast(std::move(aRequest), mEndpoint));
     mOverheadBytes = 0;
     mIsRequestWritten = false;
     mStream.expires_after(aTimeout);
-    http::async_write(mStream, mRequest,
-                      [self = Self()](beast::error_code aError, std::size_t) {
-                        // After a failed write, a response may still be readable: the
-                        // peer may have rejected the request before reading all of it.
-                        self->mIsRequestWritten = !aError;
-                      });
+    http::async_write(
+      mStream, *mRequest,
+      [self = Self(), request = mRequest](beast::error_code aError, std::size_t) {
+        // After a failed write, a response may still be readable: the peer may have
+        // rejected the request before reading all of it.
+        self->mIsRequestWritten = !aError;
+      });
     // Reads concurrently with the write: an upstream may answer before it has read a long
     // body.
     ReadResponse();
@@ -220,7 +229,7 @@
     mParser.emplace();
     mParser->header_limit(mLimits.mMaxHeaderBytes);
     mParser->body_limit(mLimits.mMaxBodyBytes);
-    mParser->skip(mRequest.method() == http::verb::head);
+    mParser->skip(mRequest->method() == http::verb::head);
     mParser->get().body().mReservation = ByteBudget::Reservation(mBudget);
     ReadSome();
   }
@@ -261,6 +270,7 @@
   void CompleteExchange()
   {
     mStream.expires_never();
+    mRequest = nullptr;
     auto message = mParser->release();
     mLastUse = BootClock::now();
     mKeepAliveTimeout = ParseKeepAliveTimeout(message["Keep-Alive"]);
@@ -278,6 +288,10 @@
         { std::string(field.name_string()), std::string(field.value()) });
     }
     result.mResponse.mBody = std::move(message.body().mText);
+    if (mLimits.mKeepsReservation) {
+      result.mResponse.mReservedMemory =
+        std::make_shared<ByteBudget::Reservation>(std::move(message.body().mReservation));
+    }
     std::exchange(mDone, nullptr)(std::move(result));
   }
 
@@ -297,6 +311,7 @@
   {
     mIsUsable = false;
     mStream.close();
+    mRequest = nullptr;
     mParser.reset();
     std::exchange(mDone, nullptr)(HttpExchangeResult{ aEnd, {}, std::move(aCause) });
   }
--- /dev/null
+++ b/src/wasabispar/net/http_session.cpp
@@ -0,0 +1,370 @@
+/// @file
+/// @brief HttpSession: reads requests and hands them to the handler.
+#include "wasabispar/net/http_session.hpp"
+
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include <utility>
+
+namespace wasabispar {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+
+namespace {
+
+/// Idle timeout after StopAccepting(): long enough for a request that the client has sent
+/// to arrive.
+constexpr auto kIdleTimeoutAfterStop = std::chrono::milliseconds(500);
+
+constexpr std::size_t kReadChunkBytes = 4096;
+/// The buffer of a connection holds at most the header and one read of the body, which
+/// also bounds a chunk extension and a trailer.
+constexpr std::size_t kMaxReadBytes = 64 * 1024;
+
+/// Size of the socket buffers of a server with a memory budget; the kernel doubles it.
+/// What a caller sends before it is read counts for the memory of the VM. At a round trip
+/// of 6 ms it allows 10 MB/s, half of the largest link of a VM of the platform.
+constexpr int kSocketBufferBytes = 32 * 1024;
+
+/// HTTP version of responses to requests whose version is not known.
+constexpr unsigned kDefaultHttpVersion = 11;
+
+} // namespace
+
+HttpSession::HttpSession(std::shared_ptr<HttpServer::State> aServer, tcp::socket aSocket)
+  : mServer(std::move(aServer))
+  , mStream(std::move(aSocket))
+  , mIdleTimer(mStream.get_executor())
+  , mReadTimer(mStream.get_executor())
+  , mWriteTimer(mStream.get_executor())
+{
+  beast::error_code error;
+  const auto remote = mStream.socket().remote_endpoint(error);
+  if (!error) {
+    mPeer = remote.address().to_string() + ":" + std::to_string(remote.port());
+  }
+  mStream.socket().set_option(tcp::no_delay(true), error);
+  if (mServer->mMemory) {
+    LimitSocketBuffers();
+  }
+}
+
+HttpSession::~HttpSession()
+{
+  if (mHandling) {
+    --mServer->mRunningRequests;
+  }
+  if (mServer->mMemory) {
+    mServer->mWaitingSessions.Remove(this);
+  }
+  std::lock_guard lock(mServer->mMutex);
+  mServer->mSessions.erase(this);
+}
+
+void
+HttpSession::LimitSocketBuffers()
+{
+  beast::error_code ignored;
+  auto& socket = mStream.socket();
+  socket.set_option(asio::socket_base::receive_buffer_size(kSocketBufferBytes), ignored);
+  socket.set_option(asio::socket_base::send_buffer_size(kSocketBufferBytes), ignored);
+}
+
+void
+HttpSession::Start()
+{
+  asio::dispatch(mStream.get_executor(),
+                 [self = shared_from_this()] { self->AwaitRequest(); });
+}
+
+void
+HttpSession::Stop()
+{
+  asio::post(mStream.get_executor(), [self = shared_from_this()] {
+    if (!self->mHandling && !self->mReading) {
+      self->ArmIdleTimer(kIdleTimeoutAfterStop);
+    }
+  });
+}
+
+void
+HttpSession::Abort()
+{
+  asio::post(mStream.get_executor(), [self = shared_from_this()] { self->Close(); });
+}
+
+void
+HttpSession::AwaitRequest()
+{
+  if (mIsPeerClosed) {
+    Close();
+    return;
+  }
+  if (mBuffer.size() > 0) {
+    ReadRequest();
+    return;
+  }
+  ArmIdleTimer(mServer->mStopped ? Duration(kIdleTimeoutAfterStop)
+                                 : mServer->Options().mIdleTimeout);
+  AwaitBytes();
+}
+
+void
+HttpSession::ArmIdleTimer(Duration aTimeout)
+{
+  mIdleTimer.expires_after(
+    std::chrono::duration_cast<asio::steady_timer::duration>(aTimeout));
+  mIdleTimer.async_wait([weak = weak_from_this()](beast::error_code aError) {
+    const auto self = weak.lock();
+    if (!aError && self && !self->mHandling && !self->mReading) {
+      self->Close();
+    }
+  });
+}
+
+void
+HttpSession::AwaitBytes()
+{
+  if (mIsReadPending) {
+    return;
+  }
+  mIsReadPending = true;
+  mStream.socket().async_read_some(
+    mBuffer.prepare(kReadChunkBytes),
+    [self = shared_from_this()](beast::error_code aError, std::size_t aBytes) {
+      self->mIsReadPending = false;
+      self->OnBytes(aError, aBytes);
+    });
+}
+
+void
+HttpSession::OnBytes(beast::error_code aError, std::size_t aBytes)
+{
+  if (aError) {
+    mIsPeerClosed = true;
+    Close();
+    if (const auto notifier = std::exchange(mDisconnectNotifier, nullptr)) {
+      notifier->Notify();
+    }
+    return;
+  }
+  mBuffer.commit(aBytes);
+  if (!mHandling) {
+    mIdleTimer.cancel();
+    ReadRequest();
+  }
+}
+
+void
+HttpSession::ReadRequest()
+{
+  mReading = true;
+  const auto options = mServer->Options();
+  mParser.emplace();
+  mParser->header_limit(static_cast<std::uint32_t>(options.mMaxHeaderBytes));
+  mParser->body_limit(options.mMaxBodyBytes);
+  mBuffer.max_size(options.mMaxHeaderBytes + kMaxReadBytes);
+  mStream.expires_never();
+  ArmReadTimer(options.mReadTimeout);
+  if (mServer->mMemory) {
+    ReadWithinBudget();
+  } else {
+    ReadWhole();
+  }
+}
+
+void
+HttpSession::ReadWhole()
+{
+  http::async_read(mStream, mBuffer, *mParser,
+                   [self = shared_from_this()](beast::error_code aError, std::size_t) {
+                     self->OnRead(aError);
+                   });
+}
+
+void
+HttpSession::ReadWithinBudget()
+{
+  http::async_read_header(
+    mStream, mBuffer, *mParser,
+    [self = shared_from_this()](beast::error_code aError, std::size_t) {
+      if (aError) {
+        self->OnRead(aError);
+        return;
+      }
+      auto& parser = *self->mParser;
+      const auto& memory = *self->mServer->mMemory;
+      // The length is checked at once, but reserved as the bytes arrive: a caller that
+      // announces a long body and does not send it takes nothing from the others.
+      if (!memory.MayBegin(parser.content_length().value_or(0))) {
+        self->mIsBodyUnread = !parser.is_done();
+        self->mReading = false;
+        self->mReadTimer.cancel();
+        self->RejectForMemory();
+        return;
+      }
+      parser.get().body().mReservation = ByteBudget::Reservation(memory.Requests());
+      self->ReadWhole();
+    });
+}
+
+void
+HttpSession::OnRead(beast::error_code aError)
+{
+  mReading = false;
+  mReadTimer.cancel();
+  if (!aError) {
+    Handle();
+  } else if (mParser->get().body().mIsOverBudget) {
+    mIsBodyUnread = true;
+    RejectForMemory();
+  } else {
+    RejectRequest(aError);
+  }
+}
+
+void
+HttpSession::ArmReadTimer(Duration aTimeout)
+{
+  mReadTimer.expires_after(
+    std::chrono::duration_cast<asio::steady_timer::duration>(aTimeout));
+  mReadTimer.async_wait(
+    [weak = weak_from_this(), number = ++mRequestNumber](beast::error_code aError) {
+      const auto self = weak.lock();
+      if (!aError && self && self->mReading && self->mRequestNumber == number) {
+        self->mServer->ReportRejection("read-timeout");
+        self->Close();
+      }
+    });
+}
+
+void
+HttpSession::RejectRequest(beast::error_code aError)
+{
+  if (aError == http::error::end_of_stream || aError == asio::error::connection_reset ||
+      aError == asio::error::operation_aborted) {
+    Close();
+  } else if (aError == http::error::header_limit) {
+    Reject(431, "header-too-large");
+  } else if (aError == http::error::body_limit) {
+    Reject(413, "body-too-large");
+  } else {
+    Reject(400, "malformed");
+  }
+}
+
+void
+HttpSession::RejectForMemory()
+{
+  mParser.reset();
+  // Whole seconds, as HTTP defines the header.
+  Reject(503, "no-memory", { { "Retry-After", "1" } });
+}
+
+void
+HttpSession::Reject(unsigned aStatus, std::string_view aReason,
+                    std::vector<HttpHeader> aHeaders)
+{
+  mServer->ReportRejection(aReason);
+  HttpResponse response;
+  response.mStatus = aStatus;
+  response.mBody =
+    R"({"outcome":"not-run","error":{"step":"parse-request","peer":"","cause":")" +
+    std::string(aReason) + "\"}}";
+  response.mHeaders = std::move(aHeaders);
+  response.mHeaders.push_back({ "Wasabispar-Outcome", "not-run" });
+  response.mCloseConnection = true;
+  Write(std::move(response), kDefaultHttpVersion, false);
+}
+
+class HttpSession::Responder
+{
+public:
+  Responder(std::shared_ptr<HttpSession> aSession, unsigned aHttpVersion, bool aKeepAlive)
+    : mSession(std::move(aSession))
+    , mHttpVersion(aHttpVersion)
+    , mKeepAlive(aKeepAlive)
+  {
+  }
+  ~Responder()
+  {
+    if (!mIsUsed) {
+      mSession->Abort();
+    }
+  }
+  Responder(const Responder&) = delete;
+  Responder& operator=(const Responder&) = delete;
+
+  void Respond(HttpResponse aResponse)
+  {
+    if (mIsUsed.exchange(true)) {
+      return;
+    }
+    asio::dispatch(mSession->mStream.get_executor(),
+                   [session = mSession, version = mHttpVersion, keepAlive = mKeepAlive,
+                    response = std::move(aResponse)]() mutable {
+                     session->Write(std::move(response), version, keepAlive);
+                   });
+  }
+
+private:
+  std::shared_ptr<HttpSession> mSession;
+  unsigned mHttpVersion;
+  bool mKeepAlive;
+  std::atomic<bool> mIsUsed{ false };
+};
+
+HttpRespondFn
+HttpSession::MakeResponder(unsigned aHttpVersion, bool aKeepAlive)
+{
+  auto responder =
+    std::make_shared<Responder>(shared_from_this(), aHttpVersion, aKeepAlive);
+  return
+    [responder](HttpResponse aResponse) { responder->Respond(std::move(aResponse)); };
+}
+
+void
+HttpSession::Handle()
+{
+  mHandling = true;
+  ++mServer->mRunningRequests;
+  mStream.expires_never();
+  auto message = mParser->release();
+  HttpRequest request;
+  request.mMethod = std::string(message.method_string());
+  request.mTarget = std::string(message.target());
+  for (const auto& field : message) {
+    request.mHeaders.push_back(
+      { std::string(field.name_string()), std::string(field.value()) });
+  }
+  request.mBody = std::move(message.body().mText);
+  if (mServer->mMemory) {
+    request.mReservedMemory =
+      std::make_shared<ByteBudget::Reservation>(std::move(message.body().mReservation));
+  }
+  request.mContentType.clear();
+  request.mPeer = mPeer;
+  request.mDisconnectNotifier = mDisconnectNotifier =
+    std::make_shared<DisconnectNotifier>();
+  if (mBuffer.size() == 0) {
+    AwaitBytes();
+  }
+  mServer->mHandler(std::move(request),
+                    MakeResponder(message.version(), message.keep_alive()));
+}
+
+void
+HttpSession::Close()
+{
+  mIdleTimer.cancel();
+  mReadTimer.cancel();
+  mWriteTimer.cancel();
+  mStream.close();
+}
+
+} // namespace wasabispar
