Gateway: count answers until they are passed on, bound large requests to one upstream

Answers counted only while they were read, so the parts of a fan-out and the copies of its body (one for each upstream) were held without a bound. With a memory budget, answers count until they are passed on and the body is held once.

--- a/include/wasabispar/gateway/gateway.hpp
+++ b/include/wasabispar/gateway/gateway.hpp
@@ -8,6 +8,7 @@
 #include "wasabispar/gateway/request_trace.hpp"
 #include "wasabispar/gateway/service_pool.hpp"
 #include "wasabispar/net/http_server.hpp"
+#include "wasabispar/net/memory_budget.hpp"
 #include "wasabispar/net/worker.hpp"
 #include "wasabispar/routing/crash_limiter.hpp"
 #include "wasabispar/routing/route.hpp"
@@ -32,8 +33,10 @@
   /// caller, which includes the time that a small VM waits for its processor. The reserve
   /// is three tenths of the objective, up to this time.
   Duration mMaxCallerMargin = std::chrono::milliseconds(30);
-  /// Most bytes of the answers that are being read at the same time.
+  /// Most bytes of the answers that are being read at the same time, without mMemory.
   std::uint64_t mMaxResponseBytes = 32 * 1024 * 1024;
+  /// Bounds the answers from the first byte until they are passed on. May be null.
+  std::shared_ptr<MemoryBudget> mMemory;
   /// Limit on the upstreams that one request may crash.
   CrashLimiterOptions mCrashLimit;
   /// Whether this VM may try a request again that crashed many upstreams. May be empty.
--- a/include/wasabispar/gateway/service_pool.hpp
+++ b/include/wasabispar/gateway/service_pool.hpp
@@ -11,6 +11,7 @@
 #include "wasabispar/net/connection_pool.hpp"
 #include "wasabispar/routing/crash_limiter.hpp"
 #include "wasabispar/routing/extra_load_window.hpp"
+#include "wasabispar/routing/in_flight_bytes.hpp"
 #include "wasabispar/routing/placement.hpp"
 #include "wasabispar/routing/placement_scope.hpp"
 #include "wasabispar/routing/quiet_period.hpp"
@@ -54,6 +55,8 @@
   QuietPeriod mQuietPeriod;
   /// The requests a second that the upstream takes from all VMs.
   RequestLimit mRequestLimit;
+  /// The large requests of this VM that are in flight to the upstream.
+  InFlightBytes mLargeRequests;
   std::shared_ptr<ConnectionPool> mConnectionPool;
   /// Probes the upstream after a lost exchange.
   Subscription mProbeTimer;
@@ -120,6 +123,12 @@
   std::function<void(const UpstreamIncarnation&, bool aIsOpened)> mOnConnectEnd;
   /// Bounds the answers of all services that are being read at the same time.
   std::shared_ptr<ByteBudget> mResponseBudget;
+  /// Whether answers count in mResponseBudget until they are passed on, and not only
+  /// while they are read.
+  bool mCountsHeldAnswers = false;
+  /// Bytes of large requests that this VM may have in flight to one upstream. If empty,
+  /// they are not bounded.
+  std::function<std::uint64_t()> mLargeRequestShare;
 };
 
 /// @brief The result of ServicePool::Choose().
@@ -129,7 +138,8 @@
   {
     /// mReplica is the chosen upstream.
     Found,
-    /// All usable upstreams are at their limit of exchanges or of requests a second.
+    /// All usable upstreams are at their limit of exchanges, of requests a second or of
+    /// bytes in flight.
     Busy,
     /// There is no usable upstream.
     None,
--- a/include/wasabispar/routing/placement_scope.hpp
+++ b/include/wasabispar/routing/placement_scope.hpp
@@ -5,6 +5,7 @@
 #include "wasabispar/base/ids.hpp"
 #include "wasabispar/routing/permitted_regions.hpp"
 
+#include <cstdint>
 #include <vector>
 
 namespace wasabispar {
@@ -16,6 +17,8 @@
   PermittedRegions mRegions;
   /// Upstreams to which the part was sent before; they are not chosen again.
   std::vector<UpstreamId> mTried;
+  /// Size of the request's body.
+  std::uint64_t mBodyBytes = 0;
 
   /// @brief Whether the upstream @p aId in @p aRegion may be chosen.
   bool Includes(const UpstreamId& aId, const RegionId& aRegion) const;
--- a/src/wasabispar/gateway/active_request.cpp
+++ b/src/wasabispar/gateway/active_request.cpp
@@ -45,6 +45,16 @@
   return RequestFingerprint(hash);
 }
 
+/// Lets the parts and attempts of a request share its body.
+void
+ShareBody(HttpRequest& aRequest)
+{
+  if (!aRequest.mBody.empty()) {
+    aRequest.mSharedBody = std::make_shared<const std::string>(std::move(aRequest.mBody));
+    aRequest.mBody.clear();
+  }
+}
+
 FanOutState
 MakeFanOutState(const CallerRequest& aRequest, const Route& aRoute, std::size_t aParts,
                 Duration aMaxCallerMargin, TimePoint aNow)
@@ -75,9 +85,12 @@
                                  aGateway.mOptions.mMaxCallerMargin, aNow))
 {
   const auto fingerprint = FingerprintOf(mRequest);
+  ShareBody(mRequest.mHttpRequest);
+  const auto bodyBytes = mRequest.mHttpRequest.Body().size();
   for (std::size_t i = 0; i < aServices.size(); ++i) {
     mParts[i].mServicePool = &mGateway.PoolOf(aServices[i]);
     mParts[i].mScope.mRegions = aRoute.mPermittedRegions;
+    mParts[i].mScope.mBodyBytes = bodyBytes;
     mParts[i].mIdentity = { fingerprint,
                             ServiceFingerprint(HashText(aServices[i].Text())) };
   }
@@ -202,6 +215,7 @@
   const auto now = BootClock::now();
   const auto exchange = *found;
   part.mOpenExchanges.erase(found);
+  exchange.mReplica->mLargeRequests.OnEnded(aExchange);
   const auto httpEnd = aResult.mEnd;
   if (mIsCallerDisconnected) {
     RecordEnd(exchange, httpEnd, {});
--- a/src/wasabispar/gateway/active_request_end.cpp
+++ b/src/wasabispar/gateway/active_request_end.cpp
@@ -133,6 +133,9 @@
   const auto now = BootClock::now();
   for (auto& part : mParts) {
     LeaveQueue(part);
+    // The response is complete; slower exchanges of the request may run on for a while.
+    part.mReply.reset();
+    part.mFailure.reset();
   }
   AbortUnstartedExchanges();
   if (mRequest.mHttpRequest.mDisconnectNotifier) {
--- a/src/wasabispar/gateway/active_request_send.cpp
+++ b/src/wasabispar/gateway/active_request_send.cpp
@@ -80,8 +80,11 @@
   auto& queue = part.mServicePool->Queue();
   const auto ahead = queue.CountAhead(mRoute.mPriority, mFanOutState.AnswerBy());
   mTrace.Add(TraceStep::Queued, aPart, {}, ahead, BootClock::now());
-  const auto reach = part.mScope.mRegions.AreAll() ? WaitQueue::Reach::AllUpstreams
-                                                   : WaitQueue::Reach::SomeUpstreams;
+  // A large request may wait for bytes in flight while others can start.
+  const bool fitsAll =
+    part.mScope.mRegions.AreAll() && part.mScope.mBodyBytes <= kLargeRequestBytes;
+  const auto reach =
+    fitsAll ? WaitQueue::Reach::AllUpstreams : WaitQueue::Reach::SomeUpstreams;
   part.mQueueEntry = queue.Push(mRoute.mPriority, mFanOutState.AnswerBy(), reach,
                                 [weak = weak_from_this(), aPart, aStep] {
                                   const auto self = weak.lock();
@@ -161,6 +164,7 @@
   PlanHedge(part, expected, now);
   aReplica->mLoad.OnSent(exchange, now);
   aReplica->mRequestLimit.OnSent(now);
+  aReplica->mLargeRequests.OnSent(exchange, part.mScope.mBodyBytes);
 
   PooledRequest pooled;
   pooled.mMakeRequest = [self = shared_from_this(),
--- a/src/wasabispar/gateway/gateway.cpp
+++ b/src/wasabispar/gateway/gateway.cpp
@@ -179,8 +179,10 @@
       mOptions.mCrashLimit, [this](const UpstreamCrash& aCrash) { OnCrash(aCrash); },
       mOptions.mMayTry)
 {
+  mOptions.mPools.mCountsHeldAnswers = mOptions.mMemory != nullptr;
   mOptions.mPools.mResponseBudget =
-    std::make_shared<ByteBudget>(mOptions.mMaxResponseBytes);
+    mOptions.mMemory ? mOptions.mMemory->Answers()
+                     : std::make_shared<ByteBudget>(mOptions.mMaxResponseBytes);
   mOptions.mPools.mTimers = &mWorker.Timers();
   mOptions.mPools.mOnConnectEnd = [this](const UpstreamIncarnation& aUpstream,
                                          bool aIsOpened) {
--- a/src/wasabispar/gateway/service_pool.cpp
+++ b/src/wasabispar/gateway/service_pool.cpp
@@ -22,7 +22,7 @@
 
 /// The options of the connection pool of each upstream.
 ConnectionPoolOptions
-PoolOptions(std::shared_ptr<ByteBudget> aResponseBudget)
+PoolOptions(const ServicePoolOptions& aOptions)
 {
   ConnectionPoolOptions options;
   options.mIdleTimeout = std::chrono::seconds(2);
@@ -30,7 +30,8 @@
   options.mOpenTimeout = std::chrono::milliseconds(400);
   options.mReconnect.mInitial = std::chrono::milliseconds(250);
   options.mQueue.mMaxLengthPerCaller = 64;
-  options.mResponseBudget = std::move(aResponseBudget);
+  options.mResponseBudget = aOptions.mResponseBudget;
+  options.mResponseLimits.mKeepsReservation = aOptions.mCountsHeldAnswers;
   return options;
 }
 
@@ -199,7 +200,7 @@
     HandleError([&] { return Endpoint::Parse(aRecord.mAddress.Text()); },
                 [](const Error&) { return Endpoint{}; });
   replica->mConnectionPool = std::make_shared<ConnectionPool>(
-    mContext, endpoint, PoolOptions(mOptions.mResponseBudget), MakePoolHooks(replica));
+    mContext, endpoint, PoolOptions(mOptions), MakePoolHooks(replica));
   return replica;
 }
 
@@ -308,6 +309,9 @@
 ServicePool::Candidates(const PlacementScope& aScope, TimePoint aNow) const
 {
   std::vector<ReplicaCandidate> candidates;
+  const auto share = mOptions.mLargeRequestShare
+                       ? std::optional(mOptions.mLargeRequestShare())
+                       : std::nullopt;
   for (std::size_t i = 0; i < mReplicas.size(); ++i) {
     const auto& replica = *mReplicas[i];
     const auto maxExchanges = replica.MaxExchanges(aNow);
@@ -319,7 +323,8 @@
                            replica.mLoad.FailureRatio(aNow), replica.mLoad.InFlight(),
                            maxExchanges, replica.mRecord.mSlots, replica.mIsRemote,
                            replica.mLoad.IsAvoided(aNow), replica.mIsOverflow,
-                           !replica.mRequestLimit.MaySend(aNow) });
+                           !replica.mRequestLimit.MaySend(aNow) ||
+                             !replica.mLargeRequests.MaySend(aScope.mBodyBytes, share) });
   }
   return candidates;
 }
--- a/src/wasabispar/net/memory_budget_test.cpp
+++ b/src/wasabispar/net/memory_budget_test.cpp
@@ -13,14 +13,14 @@
 /// anything.
 TEST_CASE("the shares fit into the memory beside the process, and none is empty")
 {
-  rc::check([] {
+  CHECK(rc::check([] {
     const auto memory = *rc::gen::inRange<std::uint64_t>(1'000'000, 1'000'000'000);
     const auto shares = DivideMemory(memory);
     const auto total = shares.mAnswers + shares.mRequests + shares.mWaiting;
     RC_ASSERT(std::min({ shares.mAnswers, shares.mRequests, shares.mWaiting }) > 0);
     RC_ASSERT(total <= memory / 2);
     RC_ASSERT(memory < 112'000'000 || 2 * total + 40'000'000 <= memory);
-  });
+  }));
   CHECK(DivideMemory(112'000'000) == MemoryShares{ 12'000'000, 12'000'000, 12'000'000 });
 }
 
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -245,9 +245,16 @@
   aExchange->RespondRaw(first + bytes, true);
 }
 
-GatewayFixture::GatewayFixture(QuotasFn aQuotas)
+GatewayFixture::GatewayFixture(QuotasFn aQuotas, std::shared_ptr<MemoryBudget> aMemory,
+                               std::uint64_t aLargeRequestShare)
 {
   GatewayOptions options;
+  options.mMemory = std::move(aMemory);
+  if (options.mMemory) {
+    options.mPools.mLargeRequestShare = [aLargeRequestShare] {
+      return aLargeRequestShare;
+    };
+  }
   options.mPools.mConnectionQuotas = std::move(aQuotas);
   options.mPools.mIsRemote = [](const DataCentreId&) { return false; };
   options.mPools.mRegionOf = [](const DataCentreId& aDataCentre) {
@@ -340,13 +347,14 @@
 }
 
 std::future<GatewayAnswer>
-GatewayFixture::Send(const std::string& aPath, Duration aCallerTimeout)
+GatewayFixture::Send(const std::string& aPath, Duration aCallerTimeout, std::string aBody)
 {
   auto promise = std::make_shared<std::promise<GatewayAnswer>>();
   auto future = promise->get_future();
   HttpRequest request;
   request.mTarget = aPath;
   request.mContentType.clear();
+  request.mBody = std::move(aBody);
   request.mHeaders.push_back(
     { kRequestIdHeader, "request-" + std::to_string(++mNextId) });
   request.mHeaders.push_back(
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -119,7 +119,11 @@
 public:
   /// @param aQuotas the connection quotas of the gateway; if empty, it uses all
   /// connections.
-  explicit GatewayFixture(QuotasFn aQuotas = {});
+  /// @param aMemory see GatewayOptions::mMemory; with a budget, this VM may have @p
+  /// aLargeRequestShare bytes of large requests in flight to one upstream.
+  explicit GatewayFixture(QuotasFn aQuotas = {},
+                          std::shared_ptr<MemoryBudget> aMemory = nullptr,
+                          std::uint64_t aLargeRequestShare = 0);
   ~GatewayFixture();
 
   /// @brief Adds an upstream of @p aService and waits until the gateway has processed the
@@ -132,7 +136,8 @@
   /// @brief Replaces the routes of the gateway.
   void SetRoutes(std::vector<Route> aRoutes);
   /// @brief Sends a request for host `h` with the given timeout of the caller.
-  std::future<GatewayAnswer> Send(const std::string& aPath, Duration aCallerTimeout);
+  std::future<GatewayAnswer> Send(const std::string& aPath, Duration aCallerTimeout,
+                                  std::string aBody = "");
   /// @brief Sends a request and waits for its response.
   GatewayAnswer SendAndWait(const std::string& aPath,
                             Duration aCallerTimeout = std::chrono::seconds(2));
@@ -140,6 +145,7 @@
   void DisconnectCaller();
   /// @brief Runs @p aFn on the worker and waits for it.
   void OnWorker(const std::function<void()>& aFn);
+  Worker& GatewayWorker() { return mWorker; }
   Gateway& GatewayUnderTest() { return *mGateway; }
   /// @brief Writes the entry of an upstream to the registry once more, as serving.
   void WriteAgain(const FakeUpstream& aUpstream, const std::string& aService);
