--- a/src/wasabispar/net/http_session.cpp
+++ b/src/wasabispar/net/http_session.cpp
@@ -6,6 +6,10 @@
 #include <boost/asio/post.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <utility>
 
 namespace wasabispar {
@@ -26,10 +30,14 @@
 /// also bounds a chunk extension and a trailer.
 constexpr std::size_t kMaxReadBytes = 64 * 1024;
 
-/// Size of the socket buffers of a server with a memory budget; the kernel doubles it.
-/// What a caller sends before it is read counts for the memory of the VM. At a round trip
-/// of 6 ms it allows 10 MB/s, half of the largest link of a VM of the platform.
-constexpr int kSocketBufferBytes = 32 * 1024;
+/// Size of the receive buffer of a server with a memory budget, which the kernel doubles
+/// to the size that it starts with: what a caller sends before it is read counts for the
+/// memory of the VM, so the buffer must not grow.
+constexpr int kReceiveBufferBytes = 64 * 1024;
+/// Bytes that the kernel takes beyond those it can send at once. A small send buffer would
+/// bound them too, but it slows down callers that read fast where it is smaller than a
+/// segment, as on loopback.
+constexpr int kMaxUnsentBytes = 32 * 1024;
 
 /// HTTP version of responses to requests whose version is not known.
 constexpr unsigned kDefaultHttpVersion = 11;
@@ -71,8 +79,9 @@
 {
   beast::error_code ignored;
   auto& socket = mStream.socket();
-  socket.set_option(asio::socket_base::receive_buffer_size(kSocketBufferBytes), ignored);
-  socket.set_option(asio::socket_base::send_buffer_size(kSocketBufferBytes), ignored);
+  socket.set_option(asio::socket_base::receive_buffer_size(kReceiveBufferBytes), ignored);
+  ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_NOTSENT_LOWAT, &kMaxUnsentBytes,
+               sizeof(kMaxUnsentBytes));
 }
 
 void
--- a/src/wasabispar/net/http_session.hpp
+++ b/src/wasabispar/net/http_session.hpp
@@ -103,7 +103,7 @@
   /// The bytes of mPendingWrite in MemoryBudget::Waiting(); none until it waits.
   ByteBudget::Reservation mWaitingBytes;
 
-  /// Sets the sizes of the socket's buffers of a server with a memory budget.
+  /// Bounds what the kernel holds for the connection. For servers with a memory budget.
   void LimitSocketBuffers();
   /// Waits for the next request, which may already be in the buffer.
   void AwaitRequest();
--- a/src/wasabispar/net/http_session_write.cpp
+++ b/src/wasabispar/net/http_session_write.cpp
@@ -92,8 +92,10 @@
 void
 HttpSession::OnWritten(PendingWrite& aWrite, beast::error_code aError, std::size_t aBytes)
 {
-  if (aError || aWrite.mSerializer.is_done()) {
-    FinishResponse(!aError && aWrite.mMessage->keep_alive());
+  // The connection may have been reset after the socket had taken these bytes.
+  const bool isReset = mPendingWrite.get() != &aWrite;
+  if (aError || isReset || aWrite.mSerializer.is_done()) {
+    FinishResponse(!aError && !isReset && aWrite.mMessage->keep_alive());
     return;
   }
   aWrite.mWrittenBytes += aBytes;
