--- a/src/wasabispar/net/http_session.cpp
+++ b/src/wasabispar/net/http_session.cpp
@@ -34,9 +34,9 @@
 /// to the size that it starts with: what a caller sends before it is read counts for the
 /// memory of the VM, so the buffer must not grow.
 constexpr int kReceiveBufferBytes = 64 * 1024;
-/// Bytes that the kernel takes beyond those it can send at once. A small send buffer would
-/// bound them too, but it slows down callers that read fast where it is smaller than a
-/// segment, as on loopback.
+/// Bytes that the kernel takes beyond those it can send at once. A small send buffer
+/// would bound them too, but it slows down callers that read fast where it is smaller
+/// than a segment, as on loopback.
 constexpr int kMaxUnsentBytes = 32 * 1024;
 
 /// HTTP version of responses to requests whose version is not known.
