--- a/include/wasabispar/gateway/service_pool.hpp
+++ b/include/wasabispar/gateway/service_pool.hpp
@@ -14,6 +14,7 @@
 #include "wasabispar/routing/connection_pressure.hpp"
 #include "wasabispar/routing/crash_limiter.hpp"
 #include "wasabispar/routing/extra_load_window.hpp"
+#include "wasabispar/routing/in_flight_bytes.hpp"
 #include "wasabispar/routing/outage_watch.hpp"
 #include "wasabispar/routing/placement.hpp"
 #include "wasabispar/routing/placement_scope.hpp"
@@ -93,6 +94,8 @@
   ReportedLoad mReportedLoad;
   /// The last load that the upstream stated was malformed.
   bool mHasInvalidLoad = false;
+  /// The large requests of this VM that are in flight to the upstream.
+  InFlightBytes mLargeRequests;
   std::shared_ptr<ConnectionPool> mConnectionPool;
   /// Probes the upstream after a lost exchange.
   Subscription mProbeTimer;
@@ -174,6 +177,12 @@
   std::shared_ptr<ConnectionPressure> mConnectionPressure;
   /// Bounds the answers of all services that are being read at the same time.
   std::shared_ptr<ByteBudget> mResponseBudget;
+  /// Whether answers count in mResponseBudget until they are passed on, and not only
+  /// while they are read.
+  bool mCountsHeldAnswers = false;
+  /// Bytes of large requests that this VM may have in flight to one upstream. If empty,
+  /// they are not bounded.
+  std::function<std::uint64_t()> mLargeRequestShare;
 };
 
 /// @brief The result of ServicePool::Choose().
@@ -183,7 +192,8 @@
   {
     /// mReplica is the chosen upstream.
     Found,
-    /// All usable upstreams are at their limit of exchanges or of requests a second.
+    /// All usable upstreams are at their limit of exchanges, of requests a second or of
+    /// bytes in flight.
     Busy,
     /// There is no usable upstream.
     None,
--- a/include/wasabispar/routing/connection_pressure.hpp
+++ b/include/wasabispar/routing/connection_pressure.hpp
@@ -18,16 +18,16 @@
   Duration mWindow = std::chrono::seconds(2);
 };
 
-/// @brief Counts the new connections that upstreams refused because they had too many. Not
-/// thread-safe.
+/// @brief Counts the new connections that upstreams refused because they had too many.
+/// Not thread-safe.
 ///
 /// Load pattern: all VMs lose power at once. For seconds the upstreams still count the
 /// connections of the VMs that failed, and have room for hardly more than one new
 /// connection of each VM of their own region. If the VMs of other regions open theirs in
-/// that time, as hedges or alternatives, VMs find no connection to the upstreams near them.
-/// Under pressure a VM therefore opens no connections to another region while an upstream
-/// of its own region can be reached, and sends on a new connection only when it was not
-/// reset: a request on a connection that is reset may have run.
+/// that time, as hedges or alternatives, VMs find no connection to the upstreams near
+/// them. Under pressure a VM therefore opens no connections to another region while an
+/// upstream of its own region can be reached, and sends on a new connection only when it
+/// was not reset: a request on a connection that is reset may have run.
 class ConnectionPressure
 {
 public:
