--- a/include/wasabispar/routing/cold_limit.hpp
+++ b/include/wasabispar/routing/cold_limit.hpp
@@ -26,7 +26,8 @@
 /// when the first byte may be written. Not thread-safe.
 ///
 /// Invariant: while the upstream is cold, the requests sent within the window of the
-/// share are at most those of the share, also if reserved ones start at the same time.
+/// share are at most those of the share, also if reserved ones start at the same time;
+/// more only if they were sent before it became cold.
 class ColdLimit
 {
 public:
--- a/include/wasabispar/routing/placement.hpp
+++ b/include/wasabispar/routing/placement.hpp
@@ -32,7 +32,8 @@
   bool mIsAvoided = false;
   /// A connection has to be opened for this request alone.
   bool mIsOverflow = false;
-  /// The upstream's request limit allows no request of this VM now.
+  /// The limit that the upstream names, or the one on cold upstreams, allows no request
+  /// of this VM now.
   bool mIsAtRequestLimit = false;
   /// Requests of all VMs that run or wait at the upstream, from ReportedLoad; empty if
   /// they are not known.
--- a/include/wasabispar/routing/request_limit.hpp
+++ b/include/wasabispar/routing/request_limit.hpp
@@ -54,7 +54,8 @@
 ///
 /// Invariant: with equal shares, this VM sends in any time T at most its share of T and
 /// of mBurstTime, and one request more; with whole requests, at most those of its share
-/// in any window of it.
+/// in any window of it. Requests count when their upstream is chosen; they may wait for a
+/// connection and arrive closer together.
 class RequestLimit
 {
 public:
