--- a/src/wasabispar/routing/cold_limit_fleet_test.cpp
+++ b/src/wasabispar/routing/cold_limit_fleet_test.cpp
@@ -22,7 +22,7 @@
 constexpr std::uint64_t kSeed = 20261204;
 constexpr std::size_t kVms = 200;
 constexpr std::size_t kUpstreams = 12;
-/// warmup_per_s x overload + slack of the deployments.
+/// The sustained rate times the overload factor, plus the slack, of a deployment.
 constexpr double kLimit = 8 * 1.5 + 5;
 /// Requests per second for each upstream: 2.5 times what it answers when it is warm.
 constexpr std::uint64_t kLoad = 2.5 * 40;
