Tests: release a response's memory on the worker

Cause: under ThreadSanitizer gateway_test reported one data race: the fixture handed the response with its reserved memory to the test's thread, which released it while the worker read. The product releases it on the worker.

--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -396,6 +396,9 @@
   mWorker.Post([this, promise, request = std::move(request)]() mutable {
     const auto start = BootClock::now();
     mGateway->Handle(std::move(request), [promise, start](HttpResponse aResponse) {
+      // As the server does once it has written the response; the budget belongs to the
+      // worker.
+      aResponse.mReservedMemory = nullptr;
       promise->set_value({ std::move(aResponse), BootClock::now() - start });
     });
   });
