Request limits: count a request when its first byte may be sent

Cause: RequestLimit counted a request when its upstream was chosen. Requests that waited for a connection were chosen at the rate of the share, and arrived together. OnWithdrawn() gave back a token, or the oldest counted request, also for a request that had been chosen before the limit was named and was never counted.

Change: as in ColdLimit, a request is reserved at the choice and counted in ServicePool::MayStart, which withdraws it if the share no longer allows it. OnWithdrawn() is replaced by Release(), which ends a reservation only. Withdrawals are counted in wasabispar_gateway_limit_withdrawals_total.

The two tests of OnWithdrawn() check the same values for a reserved request that is released.

--- a/include/wasabispar/gateway/gateway.hpp
+++ b/include/wasabispar/gateway/gateway.hpp
@@ -96,8 +96,8 @@
   /// @brief Counts an upstream that has become cold.
   void CountCold(const ServiceName& aService);
   /// @brief Counts a request that was withdrawn right before its first byte, because the
-  /// upstream had become cold.
-  void CountColdWithdrawal(const ServiceName& aService);
+  /// upstream was at its request limit or had become cold.
+  void CountWithdrawal(const Replica& aReplica, TimePoint aNow);
   /// @brief Counts a malformed load that an upstream stated.
   void CountInvalidLoad(const ServiceName& aService);
   /// @brief Counts a finished exchange by the step that ended it.
--- a/include/wasabispar/gateway/service_pool.hpp
+++ b/include/wasabispar/gateway/service_pool.hpp
@@ -267,15 +267,16 @@
   void OnConnectEnd(const UpstreamId& aId, bool aIsOpened, TimePoint aNow);
   /// @brief The upstream with this id; null when there is none.
   ReplicaPtr Find(const UpstreamId& aId) const;
-  /// @brief An upstream was chosen for an exchange, which counts against its limit while
-  /// it is cold.
+  /// @brief An upstream was chosen for an exchange, which is reserved from this VM's
+  /// shares of its limits.
   void OnChosen(Replica& aReplica, ColdLimit::ExchangeId aExchange, TimePoint aNow);
-  /// @brief Whether the first byte may be sent by the limit on cold upstreams. If so, the
-  /// exchange is counted. To be followed by the end of the exchange; see OnExchangeEnd().
-  bool MayStart(const Replica& aReplica, ColdLimit::ExchangeId aExchange, TimePoint aNow);
+  /// @brief Whether the first byte may be sent by the limit that the upstream names and
+  /// the limit on cold upstreams. If so, the exchange is counted. To be followed by the
+  /// end of the exchange; see OnExchangeEnd().
+  bool MayStart(Replica& aReplica, ColdLimit::ExchangeId aExchange, TimePoint aNow);
   /// @brief An exchange has ended or was withdrawn. One that never started no longer
-  /// counts against the limit.
-  static void OnExchangeEnd(const Replica& aReplica, ColdLimit::ExchangeId aExchange);
+  /// counts against the limits.
+  static void OnExchangeEnd(Replica& aReplica, ColdLimit::ExchangeId aExchange);
   /// @brief Whether each usable upstream in @p aRegions limits the requests that it
   /// takes, or is cold.
   bool IsLimited(const PermittedRegions& aRegions) const;
@@ -300,6 +301,9 @@
   FleetRateSharePtr RateShareNow() const;
   /// This VM's share of the requests to a cold upstream.
   RateShare ColdShare(const Replica& aReplica) const;
+  /// MayStart() by the limit on cold upstreams.
+  bool MayStartCold(const Replica& aReplica, ColdLimit::ExchangeId aExchange,
+                    TimePoint aNow);
   /// Whether requests to the upstream are limited because it is cold.
   bool IsColdLimited(const Replica& aReplica, TimePoint aNow) const;
   /// When the upstream may get a request by its own limit and as a cold one.
--- a/include/wasabispar/routing/rate_window.hpp
+++ b/include/wasabispar/routing/rate_window.hpp
@@ -17,9 +17,6 @@
 public:
   /// @brief A request is sent. Requests older than @p aKept are discarded.
   void OnSent(TimePoint aNow, Duration aKept);
-  /// @brief One of the counted requests was not sent. Forgets the oldest one, so that the
-  /// count in no window is too low.
-  void OnWithdrawn();
   /// @brief When the next request may be sent: @p aNow if one may be sent now; empty if
   /// the share allows none.
   /// @param aReserved requests that are promised but not sent yet.
--- a/include/wasabispar/routing/request_limit.hpp
+++ b/include/wasabispar/routing/request_limit.hpp
@@ -10,7 +10,9 @@
 #include "wasabispar/routing/rate_window.hpp"
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
+#include <set>
 
 namespace wasabispar {
 
@@ -52,13 +54,18 @@
 /// @brief Follows the limit that one upstream names and gives this VM a share of it. Not
 /// thread-safe.
 ///
+/// Requests are reserved when the upstream is chosen, and counted when the first byte may
+/// be written: a request that waits for a connection in between arrives later than it was
+/// chosen.
+///
 /// Invariant: with equal shares, this VM sends in any time T at most its share of T and
 /// of mBurstTime, and one request more; with whole requests, at most those of its share
-/// in any window of it. Requests count when their upstream is chosen; they may wait for a
-/// connection and arrive closer together.
+/// in any window of it, also if reserved ones start at the same time.
 class RequestLimit
 {
 public:
+  using ExchangeId = std::uint64_t;
+
   explicit RequestLimit(RequestLimitOptions aOptions = {})
     : mOptions(aOptions)
   {
@@ -79,10 +86,16 @@
   /// follow the next answer.
   void SetDivision(const LimitDivision& aDivision, TimePoint aNow,
                    const RandomFn& aRandom);
-  /// @brief A request is sent.
-  void OnSent(TimePoint aNow);
-  /// @brief A request that OnSent() counted was not sent after all.
-  void OnWithdrawn();
+  /// @brief The upstream was chosen for an exchange; also if it names no limit, as it may
+  /// name one before the exchange starts.
+  void Reserve(ExchangeId aExchange) { mReserved.insert(aExchange); }
+  /// @brief Whether the first byte of a reserved request may be written now. Reserved
+  /// requests start in any order.
+  bool MayStart(TimePoint aNow) const { return NextAt(0, aNow) <= aNow; }
+  /// @brief The first byte of a request is about to be written.
+  void OnStarted(ExchangeId aExchange, TimePoint aNow);
+  /// @brief The exchange has ended or was withdrawn. One that has started stays counted.
+  void Release(ExchangeId aExchange) { mReserved.erase(aExchange); }
 
   /// @brief Whether the upstream names a limit.
   bool IsLimited() const { return mLimit.has_value(); }
@@ -90,20 +103,26 @@
   std::optional<double> Limit() const { return mLimit; }
   /// @brief This VM's share in requests a second; empty if there is no limit.
   std::optional<double> Share() const;
-  /// @brief Whether a request may be sent now.
+  /// @brief Whether a request may be reserved now.
   bool MaySend(TimePoint aNow) const { return NextSendAt(aNow) <= aNow; }
-  /// @brief When the next request may be sent; @p aNow if one may be sent now.
-  TimePoint NextSendAt(TimePoint aNow) const;
+  /// @brief When the next request may be reserved if the reserved ones start now; @p aNow
+  /// if one may be reserved now.
+  TimePoint NextSendAt(TimePoint aNow) const { return NextAt(mReserved.size(), aNow); }
 
 private:
+  /// When a request may be sent in addition to @p aReserved others that have not started.
+  TimePoint NextAt(std::size_t aReserved, TimePoint aNow) const;
   /// Requests that may be sent at @p aNow, with a fraction.
   double SavedAt(TimePoint aNow) const;
-  /// When this VM, which has no whole request, may probe the upstream.
-  TimePoint NextProbeAt(TimePoint aNow) const;
+  /// When this VM, which has no whole request, may probe the upstream. @p aIsReserved:
+  /// another request is the next probe.
+  TimePoint NextProbeAt(bool aIsReserved, TimePoint aNow) const;
 
   RequestLimitOptions mOptions;
   std::optional<double> mLimit;
   LimitDivision mDivision;
+  /// Exchanges whose first byte has not been written.
+  std::set<ExchangeId> mReserved;
   /// The requests of whole shares.
   RateWindow mWindow;
   /// Begin of the first probe time, random within a probe period.
--- a/src/wasabispar/gateway/active_request.cpp
+++ b/src/wasabispar/gateway/active_request.cpp
@@ -259,7 +259,6 @@
   }
   if (!aMayHaveBeenSent) {
     load.OnAbandoned(aExchange.mId);
-    aExchange.mReplica->mRequestLimit.OnWithdrawn();
     --aPart.mPossibleRunCount;
     return TraceStep::Unreachable;
   }
--- a/src/wasabispar/gateway/active_request.hpp
+++ b/src/wasabispar/gateway/active_request.hpp
@@ -104,7 +104,7 @@
   void LaunchHeldParts();
   bool HasOpenExchanges() const;
   /// Decides right before the first byte is written; records the exchange if it starts.
-  bool MayStillSend(std::size_t aPart, ExchangeId aExchange, const Replica& aReplica,
+  bool MayStillSend(std::size_t aPart, ExchangeId aExchange, Replica& aReplica,
                     TimePoint aNow);
   /// Tells the crash limiter how an exchange ended that had started.
   void RecordEnd(const Exchange& aExchange, HttpExchangeEnd aEnd,
--- a/src/wasabispar/gateway/active_request_send.cpp
+++ b/src/wasabispar/gateway/active_request_send.cpp
@@ -182,7 +182,6 @@
   ++part.mPossibleRunCount;
   PlanHedge(part, expected, now);
   aReplica->mLoad.OnSent(exchange, now);
-  aReplica->mRequestLimit.OnSent(now);
   part.mServicePool->OnChosen(*aReplica, exchange, now);
   aReplica->mReportedLoad.OnSent();
   aReplica->mLargeRequests.OnSent(exchange, part.mScope.mBodyBytes);
@@ -212,21 +211,21 @@
 }
 
 bool
-ActiveRequest::MayStillSend(std::size_t aPart, ExchangeId aExchange,
-                            const Replica& aReplica, TimePoint aNow)
+ActiveRequest::MayStillSend(std::size_t aPart, ExchangeId aExchange, Replica& aReplica,
+                            TimePoint aNow)
 {
+  auto& part = mParts[aPart];
   const bool takesRequests = aReplica.IsUsable() &&
                              !aReplica.mQuietPeriod.IsQuiet(aNow) &&
-                             mParts[aPart].mScope.mRegions.Permits(aReplica.mRegion);
+                             part.mScope.mRegions.Permits(aReplica.mRegion);
   if (!takesRequests || !IsCrashLimitKept(aPart, aNow)) {
     return false;
   }
-  if (!mParts[aPart].mServicePool->MayStart(aReplica, aExchange, aNow)) {
-    mGateway.mMetrics.CountColdWithdrawal(aReplica.mRecord.mService);
+  if (!part.mServicePool->MayStart(aReplica, aExchange, aNow)) {
+    mGateway.mMetrics.CountWithdrawal(aReplica, aNow);
     return false;
   }
-  mGateway.mCrashLimiter.OnSent(aExchange, mParts[aPart].mIdentity,
-                                aReplica.Incarnation(), aNow);
+  mGateway.mCrashLimiter.OnSent(aExchange, part.mIdentity, aReplica.Incarnation(), aNow);
   return true;
 }
 
--- a/src/wasabispar/gateway/gateway_cold.cpp
+++ b/src/wasabispar/gateway/gateway_cold.cpp
@@ -1,5 +1,5 @@
 /// @file
-/// @brief What the gateway learns and reports of cold upstreams.
+/// @brief What the gateway learns and reports of cold upstreams, and withdrawn requests.
 #include "wasabispar/base/log.hpp"
 #include "wasabispar/gateway/gateway.hpp"
 
@@ -39,12 +39,22 @@
 }
 
 void
-GatewayMetrics::CountColdWithdrawal(const ServiceName& aService)
+GatewayMetrics::CountWithdrawal(const Replica& aReplica, TimePoint aNow)
 {
+  const Metrics::Labels labels{ { "service", aReplica.mRecord.mService.Text() } };
+  if (!aReplica.mRequestLimit.MayStart(aNow)) {
+    mMetrics
+      .Counter("wasabispar_gateway_limit_withdrawals_total",
+               "Requests withdrawn before the first byte, as the upstream was at the "
+               "request limit that it names.",
+               labels)
+      .Increment();
+    return;
+  }
   mMetrics
     .Counter("wasabispar_gateway_cold_withdrawals_total",
              "Requests withdrawn before the first byte, as the upstream was cold.",
-             { { "service", aService.Text() } })
+             labels)
     .Increment();
 }
 
--- a/src/wasabispar/gateway/service_pool_limits.cpp
+++ b/src/wasabispar/gateway/service_pool_limits.cpp
@@ -245,14 +245,26 @@
 void
 ServicePool::OnChosen(Replica& aReplica, ColdLimit::ExchangeId aExchange, TimePoint aNow)
 {
+  aReplica.mRequestLimit.Reserve(aExchange);
   if (IsColdLimited(aReplica, aNow)) {
     aReplica.mCold->mLimit.Reserve(aExchange);
   }
 }
 
 bool
-ServicePool::MayStart(const Replica& aReplica, ColdLimit::ExchangeId aExchange,
-                      TimePoint aNow)
+ServicePool::MayStart(Replica& aReplica, ColdLimit::ExchangeId aExchange, TimePoint aNow)
+{
+  auto& limit = aReplica.mRequestLimit;
+  if (!limit.MayStart(aNow) || !MayStartCold(aReplica, aExchange, aNow)) {
+    return false;
+  }
+  limit.OnStarted(aExchange, aNow);
+  return true;
+}
+
+bool
+ServicePool::MayStartCold(const Replica& aReplica, ColdLimit::ExchangeId aExchange,
+                          TimePoint aNow)
 {
   if (!mColdBound.IsSet()) {
     return true;
@@ -266,8 +278,9 @@
 }
 
 void
-ServicePool::OnExchangeEnd(const Replica& aReplica, ColdLimit::ExchangeId aExchange)
+ServicePool::OnExchangeEnd(Replica& aReplica, ColdLimit::ExchangeId aExchange)
 {
+  aReplica.mRequestLimit.Release(aExchange);
   aReplica.mCold->mLimit.Release(aExchange);
 }
 
--- a/src/wasabispar/routing/cold_limit_fleet_test.cpp
+++ b/src/wasabispar/routing/cold_limit_fleet_test.cpp
@@ -122,7 +122,7 @@
       auto& limit = aVm.mEqualLimits[aUpstream];
       const bool maySend = limit.MaySend(aNow);
       if (maySend) {
-        limit.OnSent(aNow);
+        limit.OnStarted(1, aNow);
       }
       return maySend;
     }
--- a/src/wasabispar/routing/rate_window.cpp
+++ b/src/wasabispar/routing/rate_window.cpp
@@ -15,14 +15,6 @@
   mSentAt.push_back(aNow);
 }
 
-void
-RateWindow::OnWithdrawn()
-{
-  if (!mSentAt.empty()) {
-    mSentAt.pop_front();
-  }
-}
-
 std::optional<TimePoint>
 RateWindow::NextSendAt(const RateShare& aShare, std::size_t aReserved,
                        TimePoint aNow) const
--- a/src/wasabispar/routing/request_limit.cpp
+++ b/src/wasabispar/routing/request_limit.cpp
@@ -98,8 +98,9 @@
 }
 
 void
-RequestLimit::OnSent(TimePoint aNow)
+RequestLimit::OnStarted(ExchangeId aExchange, TimePoint aNow)
 {
+  mReserved.erase(aExchange);
   if (!mLimit) {
     return;
   }
@@ -110,15 +111,6 @@
   }
 }
 
-void
-RequestLimit::OnWithdrawn()
-{
-  if (mLimit) {
-    mSaved += 1;
-    mWindow.OnWithdrawn();
-  }
-}
-
 std::optional<double>
 RequestLimit::Share() const
 {
@@ -135,16 +127,19 @@
 }
 
 TimePoint
-RequestLimit::NextSendAt(TimePoint aNow) const
+RequestLimit::NextAt(std::size_t aReserved, TimePoint aNow) const
 {
   if (!mLimit) {
     return aNow;
   }
   if (const auto& whole = mDivision.mShare) {
-    return whole->mRequests > 0 ? *mWindow.NextSendAt(*whole, 0, aNow)
-                                : NextProbeAt(aNow);
+    // If all requests of the share are reserved, the first of them leaves the window
+    // then.
+    return whole->mRequests > 0
+             ? mWindow.NextSendAt(*whole, aReserved, aNow).value_or(aNow + whole->mWindow)
+             : NextProbeAt(aReserved > 0, aNow);
   }
-  const auto missing = 1 - SavedAt(aNow);
+  const auto missing = 1 + static_cast<double>(aReserved) - SavedAt(aNow);
   if (missing <= 0) {
     return aNow;
   }
@@ -153,7 +148,7 @@
 }
 
 TimePoint
-RequestLimit::NextProbeAt(TimePoint aNow) const
+RequestLimit::NextProbeAt(bool aIsReserved, TimePoint aNow) const
 {
   if (aNow < mFirstProbeAt) {
     return mFirstProbeAt;
@@ -161,7 +156,7 @@
   const auto passed = (aNow - mFirstProbeAt) % mDivision.mProbePeriod;
   const auto begin = aNow - passed;
   const auto last = mWindow.LastSentAt();
-  const bool isUsed = last && *last >= begin;
+  const bool isUsed = aIsReserved || (last && *last >= begin);
   return passed < kProbeTime && !isUsed ? aNow : begin + mDivision.mProbePeriod;
 }
 
--- a/src/wasabispar/routing/request_limit_fleet_test.cpp
+++ b/src/wasabispar/routing/request_limit_fleet_test.cpp
@@ -54,7 +54,7 @@
     for (auto now = aFrom; now < aTo; now += 10ms) {
       for (auto& vm : mVms) {
         while (vm.MaySend(now)) {
-          vm.OnSent(now);
+          vm.OnStarted(1, now);
           sent.push_back(now);
         }
       }
@@ -110,7 +110,7 @@
   int sent = 0;
   for (auto now = kNow; now < kNow + 10 * division.mProbePeriod; now += 100ms) {
     if (limit.MaySend(now)) {
-      limit.OnSent(now);
+      limit.OnStarted(1, now);
       ++sent;
     }
   }
@@ -126,10 +126,10 @@
   RequestLimit limit;
   limit.OnAnswer(10.0, LimitDivision{ 20, RateShare{ 1, 1s }, 10s }, kNow, kNow,
                  SeededRandom(kSeed));
-  limit.OnSent(kNow);
+  limit.Reserve(1);
   CHECK_FALSE(limit.MaySend(kNow));
   CHECK(limit.NextSendAt(kNow) == kNow + 1s);
-  limit.OnWithdrawn();
+  limit.Release(1);
   CHECK(limit.MaySend(kNow));
 }
 
@@ -140,7 +140,7 @@
   const auto random = SeededRandom(kSeed);
   limit.OnAnswer(10.0, LimitDivision{ 20, RateShare{ 2, 1s }, 10s }, kNow, kNow, random);
   limit.SetDivision({ 21, RateShare{ 1, 1s }, 10s }, kNow, random);
-  limit.OnSent(kNow);
+  limit.OnStarted(1, kNow);
   CHECK_FALSE(limit.MaySend(kNow));
   CHECK(limit.Share() == 1.0);
 }
--- a/src/wasabispar/routing/request_limit_test.cpp
+++ b/src/wasabispar/routing/request_limit_test.cpp
@@ -35,7 +35,7 @@
     for (auto now = aFrom; now < aTo; now += 10ms) {
       for (auto& vm : mVms) {
         while (vm.MaySend(now)) {
-          vm.OnSent(now);
+          vm.OnStarted(1, now);
           ++sent;
         }
       }
@@ -51,7 +51,7 @@
   RequestLimit limit;
   for (int i = 0; i < 100; ++i) {
     CHECK(limit.MaySend(kNow));
-    limit.OnSent(kNow);
+    limit.OnStarted(1, kNow);
   }
   CHECK_FALSE(limit.Share());
 }
@@ -113,9 +113,30 @@
   limit.OnAnswer(10.0, 10, kNow, kNow, SeededRandom(kSeed));
   const auto now = kNow + 1s;
   CHECK(limit.MaySend(now));
-  limit.OnSent(now);
+  limit.Reserve(1);
   CHECK_FALSE(limit.MaySend(now));
   CHECK(limit.NextSendAt(now) == now + 1s);
-  limit.OnWithdrawn();
+  limit.Release(1);
   CHECK(limit.MaySend(now));
 }
+
+/// Guards against a withdrawn request, chosen before the limit was named, that undoes the
+/// count of one that was sent.
+TEST_CASE("the end of an exchange does not undo the count of a sent request")
+{
+  for (const bool isWhole : { false, true }) {
+    RequestLimit limit;
+    limit.Reserve(1);
+    limit.Reserve(2);
+    const auto division = isWhole ? LimitDivision{ 20, RateShare{ 1, 1s }, 10s }
+                                  : LimitDivision{ 10, {}, {} };
+    limit.OnAnswer(10.0, division, kNow, kNow, SeededRandom(kSeed));
+    const auto now = kNow + 1s;
+    CHECK(limit.MayStart(now));
+    limit.OnStarted(2, now);
+    limit.Release(1);
+    limit.Release(2);
+    CHECK_FALSE(limit.MayStart(now));
+    CHECK(limit.NextSendAt(now) == now + 1s);
+  }
+}
--- a/tests/gateway/cold_test.cpp
+++ b/tests/gateway/cold_test.cpp
@@ -232,7 +232,7 @@
 {
   ColdPool pool;
   pool.Add(UnixMilliseconds());
-  const auto& replica = *pool.Choose().mReplica;
+  auto& replica = *pool.Choose().mReplica;
   CHECK(pool.ReserveAll(1) == kPerSecond);
   CHECK(pool.Choose().mKind == PlacementResult::Kind::Busy);
   ServicePool::OnExchangeEnd(replica, 1);
