Gateway: a request withdrawn at a limit may wait for its upstream again

Cause: a request that was withdrawn right before its first byte, because its upstream had come to a limit, kept this upstream in the list of those tried. If there was no other, the request was refused, although nothing was sent and the upstream could take it in time.

Change: the withdrawal takes the upstream off the list.

--- a/src/wasabispar/gateway/active_request_send.cpp
+++ b/src/wasabispar/gateway/active_request_send.cpp
@@ -223,6 +223,8 @@
   }
   if (!part.mServicePool->MayStart(aReplica, aExchange, aNow)) {
     mGateway.mMetrics.CountWithdrawal(aReplica, aNow);
+    // Nothing was sent, and the upstream is busy rather than gone.
+    std::erase(part.mScope.mTried, aReplica.mRecord.mId);
     return false;
   }
   mGateway.mCrashLimiter.OnSent(aExchange, part.mIdentity, aReplica.Incarnation(), aNow);
--- a/tests/gateway/cold_test.cpp
+++ b/tests/gateway/cold_test.cpp
@@ -123,6 +123,31 @@
   CHECK(mFirst.Requests() == 2 * kPerSecond);
 }
 
+/// Guards against requests that are refused because the upstream became limited while
+/// they waited for a connection, although it takes them in time.
+TEST_CASE_FIXTURE(ColdFixture, "requests withdrawn at a new limit are sent later")
+{
+  auto& upstream = Add("t", "third");
+  auto route = MakeRoute("read", ServiceName("t"));
+  route.mObjective = 2s;
+  route.mTimeout = 3s;
+  SetRoutes({ route }, kBound);
+  const VmId self("a");
+  SetRateShare(std::make_shared<FleetRateShare>(self, std::vector{ self, VmId("b") }));
+  upstream.mWarmup = WarmupNotice{ 20s, Revision(100) };
+  // All requests are chosen before the worker sees an open connection.
+  GatewayWorker().Post([] { std::this_thread::sleep_for(50ms); });
+  std::vector<std::future<GatewayAnswer>> futures;
+  for (int i = 0; i < 4; ++i) {
+    futures.push_back(Send("/read/1", 4s));
+  }
+  WriteAgain(upstream, "t");
+  CHECK(upstream.Requests() < 4);
+  for (auto& future : futures) {
+    CHECK(future.get().mResponse.mStatus == 200);
+  }
+}
+
 /// Guards against a warm upstream that is not used because another one is cold.
 TEST_CASE_FIXTURE(ColdFixture, "a warm upstream serves what a cold one may not get")
 {
