Request limits: keep the rank of the VM for each upstream

Cause: each response that names a limit below the number of VMs hashed all VMs, although the rank depends only on the upstream and the set of VMs.

Change: UpstreamRateShare keeps the rank until the set of VMs changes, so that an upstream that names another limit in each response costs no more either. ColdLimit uses it instead of its own cache, which depended on the rate.

--- a/include/wasabispar/gateway/service_pool.hpp
+++ b/include/wasabispar/gateway/service_pool.hpp
@@ -88,6 +88,8 @@
   QuietPeriod mQuietPeriod;
   /// The requests a second that the upstream takes from all VMs.
   RequestLimit mRequestLimit;
+  /// This VM's share of the limit that the upstream names.
+  UpstreamRateShare mRateShare;
   /// Never null.
   std::shared_ptr<ColdUpstream> mCold;
   /// The load that the upstream states.
@@ -312,7 +314,7 @@
   /// there is none.
   std::optional<double> LimitedRate(const Replica& aReplica, TimePoint aNow) const;
   /// How the limit that an upstream names is divided among the VMs.
-  LimitDivision Divide(const Replica& aReplica, double aPerSecond) const;
+  LimitDivision Divide(Replica& aReplica, double aPerSecond) const;
   /// Applies a change of the VMs that share limits, and forgets upstreams that are gone
   /// and no longer cold.
   void UpdateShares(TimePoint aNow);
--- a/include/wasabispar/routing/cold_limit.hpp
+++ b/include/wasabispar/routing/cold_limit.hpp
@@ -6,6 +6,7 @@
 #include "wasabispar/base/ids.hpp"
 #include "wasabispar/routing/fleet_rate_share.hpp"
 #include "wasabispar/routing/rate_window.hpp"
+#include "wasabispar/routing/upstream_rate_share.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -39,9 +40,11 @@
   }
 
   /// @brief This VM's share of @p aPerSecond at @p aUpstream, none if @p aFleet is null.
-  /// Computed again only if an argument has changed.
   RateShare ShareOf(const FleetRateSharePtr& aFleet, const UpstreamId& aUpstream,
-                    double aPerSecond);
+                    double aPerSecond)
+  {
+    return mShares.ShareOf(aFleet, aUpstream, aPerSecond);
+  }
   /// @brief When a request may be reserved: @p aNow if one may be reserved now; empty if
   /// the share, or what is left of it beyond the reserved requests, allows none.
   std::optional<TimePoint> NextSendAt(const RateShare& aShare, TimePoint aNow) const;
@@ -63,10 +66,7 @@
   RateWindow mWindow;
   /// Exchanges whose first byte has not been written.
   std::set<ExchangeId> mReserved;
-  /// The arguments and the result of the last ShareOf().
-  FleetRateSharePtr mFleet;
-  double mPerSecond = 0;
-  RateShare mShare;
+  UpstreamRateShare mShares;
 };
 
 } // namespace wasabispar
--- a/include/wasabispar/routing/fleet_rate_share.hpp
+++ b/include/wasabispar/routing/fleet_rate_share.hpp
@@ -43,13 +43,14 @@
   /// of 1 or more are rounded down to whole requests; a lower one is one request in the
   /// time in which it allows one. Not positive: no share.
   RateShare ShareOf(const UpstreamId& aUpstream, double aPerSecond) const;
+  /// @brief Number of VMs that rank before this one. Takes a hash of each VM.
+  std::size_t Rank(const UpstreamId& aUpstream) const;
+  /// @brief The same as ShareOf() for the result of Rank().
+  RateShare ShareAtRank(std::size_t aRank, double aPerSecond) const;
   /// @brief Number of VMs that share the limits.
   std::size_t VmCount() const { return mVms.size(); }
 
 private:
-  /// Number of VMs that rank before this one.
-  std::size_t Rank(const UpstreamId& aUpstream) const;
-
   VmId mSelf;
   std::vector<VmId> mVms;
   bool mIsMember = false;
--- a/include/wasabispar/routing/request_limit.hpp
+++ b/include/wasabispar/routing/request_limit.hpp
@@ -8,6 +8,7 @@
 #include "wasabispar/base/random.hpp"
 #include "wasabispar/routing/fleet_rate_share.hpp"
 #include "wasabispar/routing/rate_window.hpp"
+#include "wasabispar/routing/upstream_rate_share.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -45,10 +46,11 @@
 /// @brief Divides the limit @p aPerSecond of an upstream. With more VMs than requests per
 /// second, some VMs share three quarters of the limit in whole requests, and the others
 /// together probe at up to an eighth of it.
+/// @param aShares of this upstream.
 /// @param aFleet null if this VM has no share.
 /// @param aVms number of VMs, at least 1.
 LimitDivision
-DivideLimit(const FleetRateSharePtr& aFleet, std::size_t aVms,
+DivideLimit(UpstreamRateShare& aShares, const FleetRateSharePtr& aFleet, std::size_t aVms,
             const UpstreamId& aUpstream, double aPerSecond);
 
 /// @brief Follows the limit that one upstream names and gives this VM a share of it. Not
--- a/src/wasabispar/gateway/service_pool_limits.cpp
+++ b/src/wasabispar/gateway/service_pool_limits.cpp
@@ -101,12 +101,13 @@
 }
 
 LimitDivision
-ServicePool::Divide(const Replica& aReplica, double aPerSecond) const
+ServicePool::Divide(Replica& aReplica, double aPerSecond) const
 {
   const auto vms = mOptions.mVmCount ? mOptions.mVmCount() : 1;
   const auto fleet = RateShareNow();
-  return DivideLimit(fleet, std::max(vms, fleet ? fleet->VmCount() : 0),
-                     aReplica.mRecord.mId, aPerSecond);
+  return DivideLimit(aReplica.mRateShare, fleet,
+                     std::max(vms, fleet ? fleet->VmCount() : 0), aReplica.mRecord.mId,
+                     aPerSecond);
 }
 
 bool
--- a/src/wasabispar/routing/cold_limit.cpp
+++ b/src/wasabispar/routing/cold_limit.cpp
@@ -14,21 +14,6 @@
 
 } // namespace
 
-RateShare
-ColdLimit::ShareOf(const FleetRateSharePtr& aFleet, const UpstreamId& aUpstream,
-                   double aPerSecond)
-{
-  if (!aFleet) {
-    return {};
-  }
-  if (mFleet != aFleet || mPerSecond != aPerSecond) {
-    mFleet = aFleet;
-    mPerSecond = aPerSecond;
-    mShare = aFleet->ShareOf(aUpstream, aPerSecond);
-  }
-  return mShare;
-}
-
 RateShare
 ColdLimit::WithVariation(const RateShare& aShare) const
 {
--- a/src/wasabispar/routing/fleet_rate_share.cpp
+++ b/src/wasabispar/routing/fleet_rate_share.cpp
@@ -58,14 +58,19 @@
 
 RateShare
 FleetRateShare::ShareOf(const UpstreamId& aUpstream, double aPerSecond) const
+{
+  return ShareAtRank(Rank(aUpstream), aPerSecond);
+}
+
+RateShare
+FleetRateShare::ShareAtRank(std::size_t aRank, double aPerSecond) const
 {
   if (!mIsMember || !(aPerSecond > 0)) {
     return {};
   }
   const std::size_t requests = WholeRequests(aPerSecond);
-  const auto rank = Rank(aUpstream);
   const auto own =
-    rank < requests ? (requests - rank + mVms.size() - 1) / mVms.size() : 0;
+    aRank < requests ? (requests - aRank + mVms.size() - 1) / mVms.size() : 0;
   return { static_cast<std::uint32_t>(own), WindowFor(aPerSecond) };
 }
 
--- a/src/wasabispar/routing/request_limit.cpp
+++ b/src/wasabispar/routing/request_limit.cpp
@@ -26,7 +26,7 @@
 } // namespace
 
 LimitDivision
-DivideLimit(const FleetRateSharePtr& aFleet, std::size_t aVms,
+DivideLimit(UpstreamRateShare& aShares, const FleetRateSharePtr& aFleet, std::size_t aVms,
             const UpstreamId& aUpstream, double aPerSecond)
 {
   const auto perSecond = std::max(aPerSecond, RequestLimitOptions().mMinLimit);
@@ -37,7 +37,7 @@
   const auto holders = std::min<std::size_t>(aVms, WholeRequests(dealt));
   const std::chrono::duration<double> period(static_cast<double>(aVms - holders) /
                                              (perSecond * kProbeRatio));
-  return { aVms, aFleet ? aFleet->ShareOf(aUpstream, dealt) : RateShare{},
+  return { aVms, aShares.ShareOf(aFleet, aUpstream, dealt),
            std::clamp(std::chrono::duration_cast<Duration>(period), 2 * kProbeTime,
                       kMaxProbePeriod) };
 }
--- a/src/wasabispar/routing/request_limit_fleet_test.cpp
+++ b/src/wasabispar/routing/request_limit_fleet_test.cpp
@@ -28,6 +28,14 @@
   return vms;
 }
 
+LimitDivision
+Divide(const FleetRateSharePtr& aFleet, std::size_t aVms, const UpstreamId& aUpstream,
+       double aPerSecond)
+{
+  UpstreamRateShare shares;
+  return DivideLimit(shares, aFleet, aVms, aUpstream, aPerSecond);
+}
+
 struct LimitFleet
 {
   std::vector<RequestLimit> mVms;
@@ -40,7 +48,7 @@
     const auto ids = Vms(aVms);
     for (std::size_t i = 0; i < aVms; ++i) {
       const auto shares = std::make_shared<const FleetRateShare>(ids[i], ids);
-      const auto division = aIsWhole ? DivideLimit(shares, aVms, kUpstream, aLimit)
+      const auto division = aIsWhole ? Divide(shares, aVms, kUpstream, aLimit)
                                      : LimitDivision{ aVms, {}, {} };
       mVms[i].OnAnswer(aLimit, division, kNow, kNow, mRandom);
     }
@@ -96,16 +104,16 @@
 {
   const auto ids = Vms(20);
   const auto shares = std::make_shared<const FleetRateShare>(ids[0], ids);
-  CHECK(DivideLimit(shares, 20, kUpstream, 20) == LimitDivision{ 20, {}, {} });
-  CHECK(DivideLimit(nullptr, 20, kUpstream, 120) == LimitDivision{ 20, {}, {} });
-  CHECK(DivideLimit(shares, 20, kUpstream, 19).mShare.has_value());
+  CHECK(Divide(shares, 20, kUpstream, 20) == LimitDivision{ 20, {}, {} });
+  CHECK(Divide(nullptr, 20, kUpstream, 120) == LimitDivision{ 20, {}, {} });
+  CHECK(Divide(shares, 20, kUpstream, 19).mShare.has_value());
 }
 
 /// Guards against a VM without a request that never learns that the limit has ended.
 TEST_CASE("a VM without a share probes now and then")
 {
   RequestLimit limit;
-  const auto division = DivideLimit(nullptr, 89, kUpstream, 28);
+  const auto division = Divide(nullptr, 89, kUpstream, 28);
   limit.OnAnswer(28.0, division, kNow, kNow, SeededRandom(kSeed));
   int sent = 0;
   for (auto now = kNow; now < kNow + 10 * division.mProbePeriod; now += 100ms) {
