Cold upstreams: keep the requests of a lapsed entry while they count

Cause: ServicePool::UpdateShares discarded a ColdUpstream when its entry had lapsed and it was warm, with the requests of the last 1.2 s. If the same incarnation returned cold at once, the share could be used twice in a window.

Change: it is kept until ColdLimit::IsIdle().

--- a/include/wasabispar/gateway/service_pool.hpp
+++ b/include/wasabispar/gateway/service_pool.hpp
@@ -315,8 +315,8 @@
   std::optional<double> LimitedRate(const Replica& aReplica, TimePoint aNow) const;
   /// How the limit that an upstream names is divided among the VMs.
   LimitDivision Divide(Replica& aReplica, double aPerSecond) const;
-  /// Applies a change of the VMs that share limits, and forgets upstreams that are gone
-  /// and no longer cold.
+  /// Applies a change of the VMs that share limits, and forgets upstreams that are gone,
+  /// no longer cold, and whose requests no longer count.
   void UpdateShares(TimePoint aNow);
   /// The cold times of an upstream, also of earlier incarnations and lapsed entries.
   std::shared_ptr<ColdUpstream> ColdUpstreamOf(const UpstreamId& aId);
--- a/include/wasabispar/routing/cold_limit.hpp
+++ b/include/wasabispar/routing/cold_limit.hpp
@@ -58,12 +58,19 @@
   void StartUnlimited(ExchangeId aExchange, TimePoint aNow);
   /// @brief The exchange has ended or was withdrawn.
   void Release(ExchangeId aExchange);
+  /// @brief Whether no request is reserved, and none was sent recently enough to count in
+  /// a window.
+  bool IsIdle(TimePoint aNow) const { return mReserved.empty() && aNow >= mCountsUntil; }
 
 private:
+  /// Counts a request in windows that end at most @p aKept later.
+  void Count(TimePoint aNow, Duration aKept);
   RateShare WithVariation(const RateShare& aShare) const;
 
   ColdLimitOptions mOptions;
   RateWindow mWindow;
+  /// Until when a request of mWindow may count.
+  TimePoint mCountsUntil{};
   /// Exchanges whose first byte has not been written.
   std::set<ExchangeId> mReserved;
   UpstreamRateShare mShares;
--- a/src/wasabispar/gateway/service_pool_limits.cpp
+++ b/src/wasabispar/gateway/service_pool_limits.cpp
@@ -122,7 +122,9 @@
 ServicePool::UpdateShares(TimePoint aNow)
 {
   std::erase_if(mColdUpstreams, [aNow](const auto& aItem) {
-    return aItem.second.use_count() == 1 && !aItem.second->mState.IsCold(aNow);
+    const auto& cold = *aItem.second;
+    return aItem.second.use_count() == 1 && !cold.mState.IsCold(aNow) &&
+           cold.mLimit.IsIdle(aNow);
   });
   auto shares = RateShareNow();
   if (shares == mRateShare) {
--- a/src/wasabispar/routing/cold_limit.cpp
+++ b/src/wasabispar/routing/cold_limit.cpp
@@ -39,7 +39,7 @@
   if (NextSendAt(aShare, aNow) != aNow) {
     return false;
   }
-  mWindow.OnSent(aNow, std::max(kMinKept, WithVariation(aShare).mWindow));
+  Count(aNow, std::max(kMinKept, WithVariation(aShare).mWindow));
   return true;
 }
 
@@ -47,7 +47,14 @@
 ColdLimit::StartUnlimited(ExchangeId aExchange, TimePoint aNow)
 {
   mReserved.erase(aExchange);
-  mWindow.OnSent(aNow, kMinKept);
+  Count(aNow, kMinKept);
+}
+
+void
+ColdLimit::Count(TimePoint aNow, Duration aKept)
+{
+  mWindow.OnSent(aNow, aKept);
+  mCountsUntil = std::max(mCountsUntil, aNow + aKept);
 }
 
 void
--- a/tests/gateway/cold_test.cpp
+++ b/tests/gateway/cold_test.cpp
@@ -294,6 +294,27 @@
   CHECK(pool.Choose().mKind == PlacementResult::Kind::Busy);
 }
 
+/// Guards against a share that is used twice in a window, because the requests to a warm
+/// upstream were forgotten when its entry lapsed.
+TEST_CASE("requests from before an entry lapsed count when the upstream returns cold")
+{
+  ColdPool pool;
+  pool.Add(0);
+  auto& replica = *pool.Choose().mReplica;
+  for (ColdLimit::ExchangeId i = 1; i <= kPerSecond; ++i) {
+    CHECK(pool.mPool.MayStart(replica, i, pool.mNow));
+  }
+  UpstreamRecord record;
+  record.mId = UpstreamId("u");
+  std::ignore = pool.mPool.OnChange({ UpstreamChange::Kind::Removed, record });
+  pool.mPool.Tick();
+  pool.Add(UnixMilliseconds());
+  CHECK(pool.ReserveAll(10) == 0);
+  // The window of 1 s, and the variation of the transit.
+  pool.mNow += 1200ms;
+  CHECK(pool.ReserveAll(10) == kPerSecond);
+}
+
 /// Guards against an upstream that restarts cold and is sent all requests until its entry
 /// is read, and against upstreams that count as cold because this VM was cut off.
 TEST_CASE("an upstream that returns from an outage of its own is cold for a moment")
