Cold upstreams: keep what is known while the service has no limit

Cause: the pool and the store reader discarded warm-up times, starts, ends of evacuations and outages while no limit on cold upstreams was configured. When a later configuration set warmup_per_s, upstreams were cold, but not known to be.

Change: all of it is recorded whatever the limit is. ColdState remembers the last start and end of an evacuation, so that a warmup_s that is configured later applies from then on. Upstreams that become limited by a configuration are logged with source=configured. RouteTable::HasColdBounds() and its check are removed: only the store reader used it, to discard the times.

--- a/include/wasabispar/gateway/service_pool.hpp
+++ b/include/wasabispar/gateway/service_pool.hpp
@@ -49,6 +49,8 @@
   EvacuationEnded,
   /// It can be reached again after an outage of its own, and may have restarted.
   Reconnected,
+  /// It was known before, and a configuration now limits requests to cold upstreams.
+  Configured,
 };
 
 /// @brief What is known of one upstream's cold times, and the requests sent to it.
@@ -166,7 +168,8 @@
   /// Whether upstreams that are added now appeared while this VM was in service; if the
   /// function is empty, they did.
   std::function<bool()> mIsInService;
-  /// Called when an upstream has become cold, with this VM's share.
+  /// Called when an upstream has become cold while its service limits requests to cold
+  /// upstreams, with this VM's share.
   std::function<void(const Replica&, ColdSource, Duration aLeft, const RateShare&)>
     mOnCold;
   /// Runs the timers of the pool; null if it has none, so that requests which wait for a
@@ -323,7 +326,10 @@
   /// An upstream was added, or its entry is about to change to @p aRecord.
   void OnAdded(Replica& aReplica, TimePoint aNow);
   void OnEntry(Replica& aReplica, const UpstreamRecord& aRecord, TimePoint aNow);
-  /// Reports an upstream that was not cold before.
+  /// Applies a change of the service's settings for cold upstreams.
+  void SetColdBound(const ColdBound& aBound, TimePoint aNow);
+  /// Reports an upstream that was not cold before if the service limits requests to cold
+  /// ones.
   void ReportCold(const Replica& aReplica, bool aWasCold, ColdSource aSource,
                   TimePoint aNow) const;
   /// Applies the quota of this VM to an upstream.
--- a/include/wasabispar/routing/cold_state.hpp
+++ b/include/wasabispar/routing/cold_state.hpp
@@ -43,14 +43,29 @@
   void OnAdded(Duration aWarmup, std::uint64_t aStartedUnixMs, std::uint64_t aNowUnixMs,
                TimePoint aNow);
   /// @brief The evacuation of the upstream's data centre has ended.
-  void OnEvacuationEnded(Duration aWarmup, TimePoint aNow) { OnStated(aWarmup, aNow); }
+  void OnEvacuationEnded(Duration aWarmup, TimePoint aNow);
+  /// @brief The service's warm-up has changed. It applies from the last OnAdded() and
+  /// OnEvacuationEnded() on.
+  void SetWarmup(Duration aWarmup);
 
   bool IsCold(TimePoint aNow) const { return mUntil && aNow < *mUntil; }
   /// @brief The end of the last cold time; empty if there was none.
   std::optional<TimePoint> Until() const { return mUntil; }
 
 private:
+  /// When a young incarnation was added, and how long it had run by then.
+  struct Start
+  {
+    TimePoint mAddedAt;
+    Duration mAge{};
+  };
+
+  /// Cold for @p aLeft from @p aFrom on.
+  void Extend(Duration aLeft, TimePoint aFrom);
+
   std::optional<TimePoint> mUntil;
+  std::optional<Start> mStart;
+  std::optional<TimePoint> mEvacuationEndedAt;
 };
 
 } // namespace wasabispar
--- a/include/wasabispar/routing/route.hpp
+++ b/include/wasabispar/routing/route.hpp
@@ -137,8 +137,6 @@
   std::size_t RouteCount() const;
   /// @brief Number of routes whose requests may not be served in all regions.
   std::size_t RegionLimitedRouteCount() const;
-  /// @brief Whether a service limits the requests to cold upstreams.
-  bool HasColdBounds() const;
 
 private:
   RouteTableVersion mVersion;
--- a/include/wasabispar/routing/upstream_directory.hpp
+++ b/include/wasabispar/routing/upstream_directory.hpp
@@ -51,7 +51,7 @@
   /// Unix time in milliseconds at which the upstream started; a new value means a new
   /// incarnation. 0 when the entry has no start time.
   std::uint64_t mStartedUnixMs = 0;
-  /// Empty if the upstream is not cold, or if no service limits requests to cold ones.
+  /// Empty if the upstream is not cold.
   std::optional<WarmupNotice> mWarmup{};
 
   bool operator==(const UpstreamRecord&) const = default;
--- a/src/wasabispar/gateway/gateway_cold.cpp
+++ b/src/wasabispar/gateway/gateway_cold.cpp
@@ -20,6 +20,8 @@
       return "added";
     case ColdSource::EvacuationEnded:
       return "evacuation-ended";
+    case ColdSource::Configured:
+      return "configured";
     case ColdSource::Reconnected:
       break;
   }
--- a/src/wasabispar/gateway/service_pool.cpp
+++ b/src/wasabispar/gateway/service_pool.cpp
@@ -77,7 +77,7 @@
 ServicePool::Configure(const ServiceDefinition& aDefinition)
 {
   mMaxConnections = aDefinition.mMaxConnections;
-  mColdBound = aDefinition.mColdBound;
+  SetColdBound(aDefinition.mColdBound, BootClock::now());
   UpdateQuotas();
 }
 
--- a/src/wasabispar/gateway/service_pool_limits.cpp
+++ b/src/wasabispar/gateway/service_pool_limits.cpp
@@ -149,11 +149,25 @@
 }
 
 void
-ServicePool::OnAdded(Replica& aReplica, TimePoint aNow)
+ServicePool::SetColdBound(const ColdBound& aBound, TimePoint aNow)
 {
-  if (!mColdBound.IsSet()) {
-    return;
+  const bool wasSet = mColdBound.IsSet();
+  mColdBound = aBound;
+  for (const auto& replica : mReplicas) {
+    auto& state = replica->mCold->mState;
+    const bool wasCold = wasSet && state.IsCold(aNow);
+    state.SetWarmup(aBound.mWarmup);
+    ReportCold(*replica, wasCold, ColdSource::Configured, aNow);
   }
+  // Also those whose entries have lapsed.
+  for (const auto& [id, cold] : mColdUpstreams) {
+    cold->mState.SetWarmup(aBound.mWarmup);
+  }
+}
+
+void
+ServicePool::OnAdded(Replica& aReplica, TimePoint aNow)
+{
   const auto& record = aReplica.mRecord;
   const bool isInService = !mOptions.mIsInService || mOptions.mIsInService();
   auto& state = aReplica.mCold->mState;
@@ -172,8 +186,7 @@
 void
 ServicePool::OnEntry(Replica& aReplica, const UpstreamRecord& aRecord, TimePoint aNow)
 {
-  if (!mColdBound.IsSet() || !aRecord.mWarmup ||
-      aRecord.mWarmup == aReplica.mRecord.mWarmup) {
+  if (!aRecord.mWarmup || aRecord.mWarmup == aReplica.mRecord.mWarmup) {
     return;
   }
   const bool wasCold = aReplica.mCold->mState.IsCold(aNow);
@@ -184,9 +197,6 @@
 void
 ServicePool::OnWarmupStated(Replica& aReplica, Duration aLeft, TimePoint aNow)
 {
-  if (!mColdBound.IsSet()) {
-    return;
-  }
   const bool wasCold = aReplica.mCold->mState.IsCold(aNow);
   aReplica.mCold->mState.OnStated(aLeft, aNow);
   ReportCold(aReplica, wasCold, ColdSource::Response, aNow);
@@ -195,9 +205,6 @@
 void
 ServicePool::OnEvacuationEnded(const DataCentreId& aDataCentre, TimePoint aNow)
 {
-  if (!mColdBound.IsSet()) {
-    return;
-  }
   for (const auto& replica : mReplicas) {
     if (replica->mRecord.mDataCentre != aDataCentre) {
       continue;
@@ -211,7 +218,7 @@
 void
 ServicePool::OnConnectEnd(const UpstreamId& aId, bool aIsOpened, TimePoint aNow)
 {
-  const auto replica = mColdBound.IsSet() ? Find(aId) : nullptr;
+  const auto replica = Find(aId);
   if (!replica) {
     return;
   }
@@ -240,7 +247,7 @@
                         TimePoint aNow) const
 {
   const auto& state = aReplica.mCold->mState;
-  if (!aWasCold && state.IsCold(aNow) && mOptions.mOnCold) {
+  if (!aWasCold && IsColdLimited(aReplica, aNow) && mOptions.mOnCold) {
     mOptions.mOnCold(aReplica, aSource, *state.Until() - aNow, ColdShare(aReplica));
   }
 }
--- a/src/wasabispar/routing/cold_state.cpp
+++ b/src/wasabispar/routing/cold_state.cpp
@@ -26,15 +26,21 @@
 } // namespace
 
 void
-ColdState::OnStated(Duration aLeft, TimePoint aNow)
+ColdState::Extend(Duration aLeft, TimePoint aFrom)
 {
   if (aLeft <= Duration::zero()) {
     return;
   }
-  const auto until = aNow + std::min(aLeft, kMaxWarmup);
+  const auto until = aFrom + std::min(aLeft, kMaxWarmup);
   mUntil = std::max(mUntil.value_or(until), until);
 }
 
+void
+ColdState::OnStated(Duration aLeft, TimePoint aNow)
+{
+  Extend(aLeft, aNow);
+}
+
 void
 ColdState::OnStatedAtStart(Duration aLeft, std::uint64_t aStartedUnixMs,
                            std::uint64_t aNowUnixMs, TimePoint aNow)
@@ -50,8 +56,27 @@
 ColdState::OnAdded(Duration aWarmup, std::uint64_t aStartedUnixMs,
                    std::uint64_t aNowUnixMs, TimePoint aNow)
 {
-  if (aStartedUnixMs != 0 && AgeOf(aStartedUnixMs, aNowUnixMs) <= aWarmup) {
-    OnStated(aWarmup, aNow);
+  if (aStartedUnixMs != 0) {
+    mStart = Start{ aNow, AgeOf(aStartedUnixMs, aNowUnixMs) };
+  }
+  SetWarmup(aWarmup);
+}
+
+void
+ColdState::OnEvacuationEnded(Duration aWarmup, TimePoint aNow)
+{
+  mEvacuationEndedAt = aNow;
+  SetWarmup(aWarmup);
+}
+
+void
+ColdState::SetWarmup(Duration aWarmup)
+{
+  if (mStart && mStart->mAge <= aWarmup) {
+    Extend(aWarmup, mStart->mAddedAt);
+  }
+  if (mEvacuationEndedAt) {
+    Extend(aWarmup, *mEvacuationEndedAt);
   }
 }
 
--- a/src/wasabispar/routing/route.cpp
+++ b/src/wasabispar/routing/route.cpp
@@ -82,13 +82,6 @@
   return count;
 }
 
-bool
-RouteTable::HasColdBounds() const
-{
-  return std::ranges::any_of(
-    mServices, [](const auto& aItem) { return aItem.second.mColdBound.IsSet(); });
-}
-
 std::size_t
 RouteTable::RouteCount() const
 {
--- a/tests/gateway/cold_test.cpp
+++ b/tests/gateway/cold_test.cpp
@@ -315,6 +315,46 @@
   CHECK(pool.ReserveAll(10) == kPerSecond);
 }
 
+/// Guards against upstreams that are cold, and not limited when a configuration sets a
+/// limit, because what was known of them was discarded while there was none.
+TEST_CASE("a limit that is configured later applies to upstreams that are cold by then")
+{
+  std::vector<ColdSource> reported;
+  ServicePoolOptions options;
+  options.mOnCold = [&](const auto&, ColdSource aSource, auto, const auto&) {
+    reported.push_back(aSource);
+  };
+  ColdPool pool(options);
+  pool.mPool.Configure({ ServiceName("s"), 16, {} });
+  SUBCASE("a young incarnation")
+  {
+    pool.Add(UnixMilliseconds());
+  }
+  SUBCASE("a response, an entry or the end of an evacuation")
+  {
+    pool.Add(0);
+    auto record = pool.mPool.Find(UpstreamId("u"))->mRecord;
+    SUBCASE("response")
+    {
+      pool.mPool.OnWarmupStated(*pool.mPool.Find(record.mId), 20s, pool.mNow);
+    }
+    SUBCASE("entry")
+    {
+      record.mWarmup = WarmupNotice{ 20s, Revision(7) };
+      std::ignore = pool.mPool.OnChange({ UpstreamChange::Kind::Updated, record });
+    }
+    SUBCASE("evacuation")
+    {
+      pool.mPool.OnEvacuationEnded(DataCentreId("a"), pool.mNow);
+    }
+  }
+  CHECK(pool.ReserveAll(1) > kPerSecond);
+  CHECK(reported.empty());
+  pool.mPool.Configure({ ServiceName("s"), 16, kBound });
+  CHECK(pool.ReserveAll(200) == kPerSecond);
+  CHECK(reported == std::vector{ ColdSource::Configured });
+}
+
 /// Guards against an upstream that restarts cold and is sent all requests until its entry
 /// is read, and against upstreams that count as cold because this VM was cut off.
 TEST_CASE("an upstream that returns from an outage of its own is cold for a moment")
