Balance: an overdue exchange does not raise the latency of unused upstreams

Cause: AssumedLatency() took the expected latency of the other upstreams, which includes the age of an overdue exchange. An upstream without a sample then seemed as slow as a silent one, and was not preferred to it. This was not intended: the age says nothing of other upstreams.

Change: AssumeLatencies() uses ReplicaLoad::SampledLatency(). The overdue exchange still counts against its own upstream. The fleet test models the same; its checks are unchanged and pass.

Result: the new test fails without the change (1 s where less than 20 ms is expected) and passes with it.

--- a/include/wasabispar/routing/replica_load.hpp
+++ b/include/wasabispar/routing/replica_load.hpp
@@ -63,6 +63,8 @@
 
   /// @brief Expected response time of a request that is sent at @p aNow.
   Duration ExpectedLatency(TimePoint aNow) const;
+  /// @brief The same by the samples alone, without the age of an overdue exchange.
+  Duration SampledLatency(TimePoint aNow) const;
   /// @brief Fraction of recent requests that the upstream shed or failed, from 0 to 1.
   /// Decays while no request is sent, so that the upstream is tried again.
   double FailureRatio(TimePoint aNow) const;
--- a/src/wasabispar/gateway/service_pool_balance.cpp
+++ b/src/wasabispar/gateway/service_pool_balance.cpp
@@ -39,7 +39,9 @@
 }
 
 /// The fixed initial estimate may be several times too high or too low: an upstream would
-/// never be tried, or its first requests would be hedged too early.
+/// never be tried, or its first requests would be hedged too early. An overdue exchange
+/// says nothing of the other upstreams: a silent one must not keep those without a sample
+/// from being used.
 void
 ServicePool::AssumeLatencies(TimePoint aNow)
 {
@@ -52,7 +54,7 @@
       continue;
     }
     latencies.push_back({ replica->mLoad.HasSample()
-                            ? std::optional(replica->mLoad.ExpectedLatency(aNow))
+                            ? std::optional(replica->mLoad.SampledLatency(aNow))
                             : std::nullopt,
                           replica->mIsRemote });
   }
--- a/src/wasabispar/routing/balanced_choice_fleet_test.cpp
+++ b/src/wasabispar/routing/balanced_choice_fleet_test.cpp
@@ -231,7 +231,7 @@
     for (std::size_t i = 0; i < mUpstreams.size(); ++i) {
       const auto& load = aVm.mUpstreams[i].mLoad;
       latencies.push_back(
-        { load.HasSample() ? std::optional(load.ExpectedLatency(mNow)) : std::nullopt,
+        { load.HasSample() ? std::optional(load.SampledLatency(mNow)) : std::nullopt,
           IsRemote(IndexOf(aVm), i) });
     }
     for (std::size_t i = 0; i < mUpstreams.size(); ++i) {
--- a/src/wasabispar/routing/replica_load.cpp
+++ b/src/wasabispar/routing/replica_load.cpp
@@ -129,7 +129,7 @@
 }
 
 Duration
-ReplicaLoad::ExpectedLatency(TimePoint aNow) const
+ReplicaLoad::SampledLatency(TimePoint aNow) const
 {
   auto expected = mMeanLatency;
   const auto idle = aNow - mLastSampleAt;
@@ -138,11 +138,18 @@
                           ToDoubleMilliseconds(mPace.mMeanHalfLife);
     expected = mBestLatency + Scaled(mMeanLatency - mBestLatency, std::exp2(-halvings));
   }
+  return expected;
+}
+
+Duration
+ReplicaLoad::ExpectedLatency(TimePoint aNow) const
+{
+  const auto expected = SampledLatency(aNow);
   if (!mInFlight.empty()) {
     const auto age = aNow - mInFlight.front().mSentAt;
     // Up to twice the expected latency is ordinary variation.
     if (age > 2 * expected) {
-      expected = age;
+      return age;
     }
   }
   return expected;
--- a/tests/gateway/even_load_test.cpp
+++ b/tests/gateway/even_load_test.cpp
@@ -2,11 +2,13 @@
 /// @brief Tests of the services whose requests are balanced over their upstreams.
 #include "gateway_fixture.hpp"
 
+#include <boost/asio/io_context.hpp>
 #include <doctest/doctest.h>
 
 #include <string>
 #include <string_view>
 #include <thread>
+#include <tuple>
 
 using namespace wasabispar;
 using namespace std::chrono_literals;
@@ -60,6 +62,31 @@
 
 } // namespace
 
+/// Guards against a silent upstream that makes those without a sample seem slow, so that
+/// they are not used in its place.
+TEST_CASE("an overdue exchange does not raise the latency expected of other upstreams")
+{
+  boost::asio::io_context context;
+  ServicePool pool(context, {});
+  pool.SetBalanced(true);
+  const auto add = [&pool](const std::string& aId) {
+    UpstreamRecord record;
+    record.mId = UpstreamId(aId);
+    record.mAddress = UpstreamAddress("127.0.0.1:1");
+    std::ignore = pool.OnChange({ UpstreamChange::Kind::Added, record });
+    return pool.Find(record.mId);
+  };
+  const auto silent = add("silent");
+  const auto unused = add("unused");
+  const auto now = BootClock::now();
+  silent->mLoad.OnSent(1, now - 2s);
+  silent->mLoad.OnAnswered(1, now - 2s + 10ms);
+  silent->mLoad.OnSent(2, now - 1s);
+  pool.OnRequest(now);
+  CHECK(silent->mLoad.ExpectedLatency(now) == 1s);
+  CHECK(unused->mLoad.ExpectedLatency(now) < 20ms);
+}
+
 /// Guards against a change for fleets that are served well by the lowest cost.
 TEST_CASE_FIXTURE(TwoUpstreams, "a small fleet chooses the lowest cost")
 {
