--- a/src/wasabispar/routing/sharing_vms.cpp
+++ b/src/wasabispar/routing/sharing_vms.cpp
@@ -2,6 +2,7 @@
 /// @brief Retention of VMs that left the view, and the states without a share.
 #include "wasabispar/routing/sharing_vms.hpp"
 
+#include <iterator>
 #include <utility>
 
 namespace wasabispar {
@@ -16,8 +17,10 @@
 SharingVms::Update(const std::vector<VmId>& aView, bool aHasJoined, TimePoint aNow)
 {
   const auto before = mLastSeen.size();
+  // Views are sorted, so that the next VM is mostly the next item.
+  auto next = mLastSeen.begin();
   for (const auto& vm : aView) {
-    mLastSeen[vm] = aNow;
+    next = std::next(mLastSeen.insert_or_assign(next, vm, aNow));
   }
   mLastSeen[mSelf] = aNow;
   const bool hasGrown = mLastSeen.size() != before;
