--- a/include/wasabispar/gateway/service_pool.hpp
+++ b/include/wasabispar/gateway/service_pool.hpp
@@ -49,6 +49,8 @@
   EvacuationEnded,
   /// It can be reached again after an outage of its own, and may have restarted.
   Reconnected,
+  /// It was known before, and a configuration now limits requests to cold upstreams.
+  Configured,
 };
 
 /// @brief What is known of one upstream's cold times, and the requests sent to it.
@@ -88,6 +90,8 @@
   QuietPeriod mQuietPeriod;
   /// The requests a second that the upstream takes from all VMs.
   RequestLimit mRequestLimit;
+  /// This VM's share of the limit that the upstream names.
+  UpstreamRateShare mRateShare;
   /// Never null.
   std::shared_ptr<ColdUpstream> mCold;
   /// The load that the upstream states.
@@ -164,7 +168,8 @@
   /// Whether upstreams that are added now appeared while this VM was in service; if the
   /// function is empty, they did.
   std::function<bool()> mIsInService;
-  /// Called when an upstream has become cold, with this VM's share.
+  /// Called when an upstream has become cold while its service limits requests to cold
+  /// upstreams, with this VM's share.
   std::function<void(const Replica&, ColdSource, Duration aLeft, const RateShare&)>
     mOnCold;
   /// Runs the timers of the pool; null if it has none, so that requests which wait for a
@@ -267,15 +272,16 @@
   void OnConnectEnd(const UpstreamId& aId, bool aIsOpened, TimePoint aNow);
   /// @brief The upstream with this id; null when there is none.
   ReplicaPtr Find(const UpstreamId& aId) const;
-  /// @brief An upstream was chosen for an exchange, which counts against its limit while
-  /// it is cold.
+  /// @brief An upstream was chosen for an exchange, which is reserved from this VM's
+  /// shares of its limits.
   void OnChosen(Replica& aReplica, ColdLimit::ExchangeId aExchange, TimePoint aNow);
-  /// @brief Whether the first byte may be sent by the limit on cold upstreams. If so, the
-  /// exchange is counted. To be followed by the end of the exchange; see OnExchangeEnd().
-  bool MayStart(const Replica& aReplica, ColdLimit::ExchangeId aExchange, TimePoint aNow);
+  /// @brief Whether the first byte may be sent by the limit that the upstream names and
+  /// the limit on cold upstreams. If so, the exchange is counted. To be followed by the
+  /// end of the exchange; see OnExchangeEnd().
+  bool MayStart(Replica& aReplica, ColdLimit::ExchangeId aExchange, TimePoint aNow);
   /// @brief An exchange has ended or was withdrawn. One that never started no longer
-  /// counts against the limit.
-  static void OnExchangeEnd(const Replica& aReplica, ColdLimit::ExchangeId aExchange);
+  /// counts against the limits.
+  static void OnExchangeEnd(Replica& aReplica, ColdLimit::ExchangeId aExchange);
   /// @brief Whether each usable upstream in @p aRegions limits the requests that it
   /// takes, or is cold.
   bool IsLimited(const PermittedRegions& aRegions) const;
@@ -300,6 +306,9 @@
   FleetRateSharePtr RateShareNow() const;
   /// This VM's share of the requests to a cold upstream.
   RateShare ColdShare(const Replica& aReplica) const;
+  /// MayStart() by the limit on cold upstreams.
+  bool MayStartCold(const Replica& aReplica, ColdLimit::ExchangeId aExchange,
+                    TimePoint aNow);
   /// Whether requests to the upstream are limited because it is cold.
   bool IsColdLimited(const Replica& aReplica, TimePoint aNow) const;
   /// When the upstream may get a request by its own limit and as a cold one.
@@ -308,16 +317,19 @@
   /// there is none.
   std::optional<double> LimitedRate(const Replica& aReplica, TimePoint aNow) const;
   /// How the limit that an upstream names is divided among the VMs.
-  LimitDivision Divide(const Replica& aReplica, double aPerSecond) const;
-  /// Applies a change of the VMs that share limits, and forgets upstreams that are gone
-  /// and no longer cold.
+  LimitDivision Divide(Replica& aReplica, double aPerSecond) const;
+  /// Applies a change of the VMs that share limits, and forgets upstreams that are gone,
+  /// no longer cold, and whose requests no longer count.
   void UpdateShares(TimePoint aNow);
   /// The cold times of an upstream, also of earlier incarnations and lapsed entries.
   std::shared_ptr<ColdUpstream> ColdUpstreamOf(const UpstreamId& aId);
   /// An upstream was added, or its entry is about to change to @p aRecord.
   void OnAdded(Replica& aReplica, TimePoint aNow);
   void OnEntry(Replica& aReplica, const UpstreamRecord& aRecord, TimePoint aNow);
-  /// Reports an upstream that was not cold before.
+  /// Applies a change of the service's settings for cold upstreams.
+  void SetColdBound(const ColdBound& aBound, TimePoint aNow);
+  /// Reports an upstream that was not cold before if the service limits requests to cold
+  /// ones.
   void ReportCold(const Replica& aReplica, bool aWasCold, ColdSource aSource,
                   TimePoint aNow) const;
   /// Applies the quota of this VM to an upstream.
--- a/include/wasabispar/routing/cold_limit.hpp
+++ b/include/wasabispar/routing/cold_limit.hpp
@@ -6,6 +6,7 @@
 #include "wasabispar/base/ids.hpp"
 #include "wasabispar/routing/fleet_rate_share.hpp"
 #include "wasabispar/routing/rate_window.hpp"
+#include "wasabispar/routing/upstream_rate_share.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -39,9 +40,11 @@
   }
 
   /// @brief This VM's share of @p aPerSecond at @p aUpstream, none if @p aFleet is null.
-  /// Computed again only if an argument has changed.
   RateShare ShareOf(const FleetRateSharePtr& aFleet, const UpstreamId& aUpstream,
-                    double aPerSecond);
+                    double aPerSecond)
+  {
+    return mShares.ShareOf(aFleet, aUpstream, aPerSecond);
+  }
   /// @brief When a request may be reserved: @p aNow if one may be reserved now; empty if
   /// the share, or what is left of it beyond the reserved requests, allows none.
   std::optional<TimePoint> NextSendAt(const RateShare& aShare, TimePoint aNow) const;
@@ -55,18 +58,22 @@
   void StartUnlimited(ExchangeId aExchange, TimePoint aNow);
   /// @brief The exchange has ended or was withdrawn.
   void Release(ExchangeId aExchange);
+  /// @brief Whether no request is reserved, and none was sent recently enough to count in
+  /// a window.
+  bool IsIdle(TimePoint aNow) const { return mReserved.empty() && aNow >= mCountsUntil; }
 
 private:
+  /// Counts a request in windows that end at most @p aKept later.
+  void Count(TimePoint aNow, Duration aKept);
   RateShare WithVariation(const RateShare& aShare) const;
 
   ColdLimitOptions mOptions;
   RateWindow mWindow;
+  /// Until when a request of mWindow may count.
+  TimePoint mCountsUntil{};
   /// Exchanges whose first byte has not been written.
   std::set<ExchangeId> mReserved;
-  /// The arguments and the result of the last ShareOf().
-  FleetRateSharePtr mFleet;
-  double mPerSecond = 0;
-  RateShare mShare;
+  UpstreamRateShare mShares;
 };
 
 } // namespace wasabispar
--- a/src/wasabispar/gateway/service_pool_limits.cpp
+++ b/src/wasabispar/gateway/service_pool_limits.cpp
@@ -101,12 +101,13 @@
 }
 
 LimitDivision
-ServicePool::Divide(const Replica& aReplica, double aPerSecond) const
+ServicePool::Divide(Replica& aReplica, double aPerSecond) const
 {
   const auto vms = mOptions.mVmCount ? mOptions.mVmCount() : 1;
   const auto fleet = RateShareNow();
-  return DivideLimit(fleet, std::max(vms, fleet ? fleet->VmCount() : 0),
-                     aReplica.mRecord.mId, aPerSecond);
+  return DivideLimit(aReplica.mRateShare, fleet,
+                     std::max(vms, fleet ? fleet->VmCount() : 0), aReplica.mRecord.mId,
+                     aPerSecond);
 }
 
 bool
@@ -121,7 +122,9 @@
 ServicePool::UpdateShares(TimePoint aNow)
 {
   std::erase_if(mColdUpstreams, [aNow](const auto& aItem) {
-    return aItem.second.use_count() == 1 && !aItem.second->mState.IsCold(aNow);
+    const auto& cold = *aItem.second;
+    return aItem.second.use_count() == 1 && !cold.mState.IsCold(aNow) &&
+           cold.mLimit.IsIdle(aNow);
   });
   auto shares = RateShareNow();
   if (shares == mRateShare) {
@@ -146,11 +149,25 @@
 }
 
 void
-ServicePool::OnAdded(Replica& aReplica, TimePoint aNow)
+ServicePool::SetColdBound(const ColdBound& aBound, TimePoint aNow)
 {
-  if (!mColdBound.IsSet()) {
-    return;
+  const bool wasSet = mColdBound.IsSet();
+  mColdBound = aBound;
+  for (const auto& replica : mReplicas) {
+    auto& state = replica->mCold->mState;
+    const bool wasCold = wasSet && state.IsCold(aNow);
+    state.SetWarmup(aBound.mWarmup);
+    ReportCold(*replica, wasCold, ColdSource::Configured, aNow);
+  }
+  // Also those whose entries have lapsed.
+  for (const auto& [id, cold] : mColdUpstreams) {
+    cold->mState.SetWarmup(aBound.mWarmup);
   }
+}
+
+void
+ServicePool::OnAdded(Replica& aReplica, TimePoint aNow)
+{
   const auto& record = aReplica.mRecord;
   const bool isInService = !mOptions.mIsInService || mOptions.mIsInService();
   auto& state = aReplica.mCold->mState;
@@ -169,8 +186,7 @@
 void
 ServicePool::OnEntry(Replica& aReplica, const UpstreamRecord& aRecord, TimePoint aNow)
 {
-  if (!mColdBound.IsSet() || !aRecord.mWarmup ||
-      aRecord.mWarmup == aReplica.mRecord.mWarmup) {
+  if (!aRecord.mWarmup || aRecord.mWarmup == aReplica.mRecord.mWarmup) {
     return;
   }
   const bool wasCold = aReplica.mCold->mState.IsCold(aNow);
@@ -181,9 +197,6 @@
 void
 ServicePool::OnWarmupStated(Replica& aReplica, Duration aLeft, TimePoint aNow)
 {
-  if (!mColdBound.IsSet()) {
-    return;
-  }
   const bool wasCold = aReplica.mCold->mState.IsCold(aNow);
   aReplica.mCold->mState.OnStated(aLeft, aNow);
   ReportCold(aReplica, wasCold, ColdSource::Response, aNow);
@@ -192,9 +205,6 @@
 void
 ServicePool::OnEvacuationEnded(const DataCentreId& aDataCentre, TimePoint aNow)
 {
-  if (!mColdBound.IsSet()) {
-    return;
-  }
   for (const auto& replica : mReplicas) {
     if (replica->mRecord.mDataCentre != aDataCentre) {
       continue;
@@ -208,7 +218,7 @@
 void
 ServicePool::OnConnectEnd(const UpstreamId& aId, bool aIsOpened, TimePoint aNow)
 {
-  const auto replica = mColdBound.IsSet() ? Find(aId) : nullptr;
+  const auto replica = Find(aId);
   if (!replica) {
     return;
   }
@@ -237,7 +247,7 @@
                         TimePoint aNow) const
 {
   const auto& state = aReplica.mCold->mState;
-  if (!aWasCold && state.IsCold(aNow) && mOptions.mOnCold) {
+  if (!aWasCold && IsColdLimited(aReplica, aNow) && mOptions.mOnCold) {
     mOptions.mOnCold(aReplica, aSource, *state.Until() - aNow, ColdShare(aReplica));
   }
 }
@@ -245,14 +255,26 @@
 void
 ServicePool::OnChosen(Replica& aReplica, ColdLimit::ExchangeId aExchange, TimePoint aNow)
 {
+  aReplica.mRequestLimit.Reserve(aExchange);
   if (IsColdLimited(aReplica, aNow)) {
     aReplica.mCold->mLimit.Reserve(aExchange);
   }
 }
 
 bool
-ServicePool::MayStart(const Replica& aReplica, ColdLimit::ExchangeId aExchange,
-                      TimePoint aNow)
+ServicePool::MayStart(Replica& aReplica, ColdLimit::ExchangeId aExchange, TimePoint aNow)
+{
+  auto& limit = aReplica.mRequestLimit;
+  if (!limit.MayStart(aNow) || !MayStartCold(aReplica, aExchange, aNow)) {
+    return false;
+  }
+  limit.OnStarted(aExchange, aNow);
+  return true;
+}
+
+bool
+ServicePool::MayStartCold(const Replica& aReplica, ColdLimit::ExchangeId aExchange,
+                          TimePoint aNow)
 {
   if (!mColdBound.IsSet()) {
     return true;
@@ -266,8 +288,9 @@
 }
 
 void
-ServicePool::OnExchangeEnd(const Replica& aReplica, ColdLimit::ExchangeId aExchange)
+ServicePool::OnExchangeEnd(Replica& aReplica, ColdLimit::ExchangeId aExchange)
 {
+  aReplica.mRequestLimit.Release(aExchange);
   aReplica.mCold->mLimit.Release(aExchange);
 }
 
--- a/tests/gateway/cold_test.cpp
+++ b/tests/gateway/cold_test.cpp
@@ -123,6 +123,31 @@
   CHECK(mFirst.Requests() == 2 * kPerSecond);
 }
 
+/// Guards against requests that are refused because the upstream became limited while
+/// they waited for a connection, although it takes them in time.
+TEST_CASE_FIXTURE(ColdFixture, "requests withdrawn at a new limit are sent later")
+{
+  auto& upstream = Add("t", "third");
+  auto route = MakeRoute("read", ServiceName("t"));
+  route.mObjective = 2s;
+  route.mTimeout = 3s;
+  SetRoutes({ route }, kBound);
+  const VmId self("a");
+  SetRateShare(std::make_shared<FleetRateShare>(self, std::vector{ self, VmId("b") }));
+  upstream.mWarmup = WarmupNotice{ 20s, Revision(100) };
+  // All requests are chosen before the worker sees an open connection.
+  GatewayWorker().Post([] { std::this_thread::sleep_for(50ms); });
+  std::vector<std::future<GatewayAnswer>> futures;
+  for (int i = 0; i < 4; ++i) {
+    futures.push_back(Send("/read/1", 4s));
+  }
+  WriteAgain(upstream, "t");
+  CHECK(upstream.Requests() < 4);
+  for (auto& future : futures) {
+    CHECK(future.get().mResponse.mStatus == 200);
+  }
+}
+
 /// Guards against a warm upstream that is not used because another one is cold.
 TEST_CASE_FIXTURE(ColdFixture, "a warm upstream serves what a cold one may not get")
 {
@@ -232,7 +257,7 @@
 {
   ColdPool pool;
   pool.Add(UnixMilliseconds());
-  const auto& replica = *pool.Choose().mReplica;
+  auto& replica = *pool.Choose().mReplica;
   CHECK(pool.ReserveAll(1) == kPerSecond);
   CHECK(pool.Choose().mKind == PlacementResult::Kind::Busy);
   ServicePool::OnExchangeEnd(replica, 1);
@@ -269,6 +294,67 @@
   CHECK(pool.Choose().mKind == PlacementResult::Kind::Busy);
 }
 
+/// Guards against a share that is used twice in a window, because the requests to a warm
+/// upstream were forgotten when its entry lapsed.
+TEST_CASE("requests from before an entry lapsed count when the upstream returns cold")
+{
+  ColdPool pool;
+  pool.Add(0);
+  auto& replica = *pool.Choose().mReplica;
+  for (ColdLimit::ExchangeId i = 1; i <= kPerSecond; ++i) {
+    CHECK(pool.mPool.MayStart(replica, i, pool.mNow));
+  }
+  UpstreamRecord record;
+  record.mId = UpstreamId("u");
+  std::ignore = pool.mPool.OnChange({ UpstreamChange::Kind::Removed, record });
+  pool.mPool.Tick();
+  pool.Add(UnixMilliseconds());
+  CHECK(pool.ReserveAll(10) == 0);
+  // The window of 1 s, and the variation of the transit.
+  pool.mNow += 1200ms;
+  CHECK(pool.ReserveAll(10) == kPerSecond);
+}
+
+/// Guards against upstreams that are cold, and not limited when a configuration sets a
+/// limit, because what was known of them was discarded while there was none.
+TEST_CASE("a limit that is configured later applies to upstreams that are cold by then")
+{
+  std::vector<ColdSource> reported;
+  ServicePoolOptions options;
+  options.mOnCold = [&](const auto&, ColdSource aSource, auto, const auto&) {
+    reported.push_back(aSource);
+  };
+  ColdPool pool(options);
+  pool.mPool.Configure({ ServiceName("s"), 16, {} });
+  SUBCASE("a young incarnation")
+  {
+    pool.Add(UnixMilliseconds());
+  }
+  SUBCASE("a response, an entry or the end of an evacuation")
+  {
+    pool.Add(0);
+    auto record = pool.mPool.Find(UpstreamId("u"))->mRecord;
+    SUBCASE("response")
+    {
+      pool.mPool.OnWarmupStated(*pool.mPool.Find(record.mId), 20s, pool.mNow);
+    }
+    SUBCASE("entry")
+    {
+      record.mWarmup = WarmupNotice{ 20s, Revision(7) };
+      std::ignore = pool.mPool.OnChange({ UpstreamChange::Kind::Updated, record });
+    }
+    SUBCASE("evacuation")
+    {
+      pool.mPool.OnEvacuationEnded(DataCentreId("a"), pool.mNow);
+    }
+  }
+  CHECK(pool.ReserveAll(1) > kPerSecond);
+  CHECK(reported.empty());
+  pool.mPool.Configure({ ServiceName("s"), 16, kBound });
+  CHECK(pool.ReserveAll(200) == kPerSecond);
+  CHECK(reported == std::vector{ ColdSource::Configured });
+}
+
 /// Guards against an upstream that restarts cold and is sent all requests until its entry
 /// is read, and against upstreams that count as cold because this VM was cut off.
 TEST_CASE("an upstream that returns from an outage of its own is cold for a moment")
