Worker: a second wake-up does not end the lag of the first

Cause: the wake-up handler records its delay and then sets the timer again, which recorded a second wake-up with a delay of zero. The lag of a worker that was late therefore ended in the handler of its wake-up timer, before the event loop had handled the requests that had waited, and these were forwarded with the time in which they had waited.

Change: LoopLag keeps one lag for each late wake-up until the loop has caught up with it, and only the delay of the timer itself counts as another one.

In the new case "each late wake-up counts", At() returned 100 ms instead of 300 ms by the code before (from its text; not run).

--- a/include/wasabispar/net/loop_lag.hpp
+++ b/include/wasabispar/net/loop_lag.hpp
@@ -9,6 +9,7 @@
 #include "wasabispar/base/clock.hpp"
 
 #include <algorithm>
+#include <deque>
 
 namespace wasabispar {
 
@@ -23,19 +24,34 @@
   /// have waited as long as the timer.
   void OnWake(TimePoint aNow)
   {
-    mLastLag = std::max(Duration{}, aNow - mDue);
+    mLags.push_back(std::max(Duration{}, aNow - mDue));
     mDue = TimePoint::max();
   }
-  /// @brief The events that were ready at the last wake-up have been handled.
-  void OnCaughtUp() { mLastLag = {}; }
+  /// @brief The events that were ready at the first wake-up that was not followed by this
+  /// call have been handled.
+  void OnCaughtUp()
+  {
+    if (!mLags.empty()) {
+      mLags.pop_front();
+    }
+  }
+  /// @brief Delay of the wake-up timer; negative before it is due or set.
+  Duration TimerDelay(TimePoint aNow) const { return aNow - mDue; }
   /// @brief Longest time that an event handled at @p aNow may have waited.
-  Duration At(TimePoint aNow) const { return std::max(mLastLag, aNow - mDue); }
+  Duration At(TimePoint aNow) const
+  {
+    auto longest = std::max(Duration{}, TimerDelay(aNow));
+    for (const auto lag : mLags) {
+      longest = std::max(longest, lag);
+    }
+    return longest;
+  }
 
 private:
   /// When the wake-up timer is due; far ahead before it was set.
   TimePoint mDue = TimePoint::max();
-  /// Lag of the last wake-up while the loop catches up; otherwise zero.
-  Duration mLastLag{};
+  /// Lags of the wake-ups after which the loop still catches up, the first of them first.
+  std::deque<Duration> mLags;
 };
 
 } // namespace wasabispar
--- a/src/wasabispar/net/loop_lag_test.cpp
+++ b/src/wasabispar/net/loop_lag_test.cpp
@@ -7,7 +7,6 @@
 
 #include <doctest/doctest.h>
 
-#include <atomic>
 #include <thread>
 
 using namespace wasabispar;
@@ -27,6 +26,22 @@
   CHECK(lag.At(due + 310ms) == 0ms);
 }
 
+/// Guards against a wake-up that ends the lag of the one before it.
+TEST_CASE("each late wake-up counts until the loop has caught up with it")
+{
+  LoopLag lag;
+  const TimePoint due{ 100s };
+  lag.OnScheduled(due);
+  lag.OnWake(due + 300ms);
+  lag.OnScheduled(due + 300ms);
+  lag.OnWake(due + 400ms);
+  CHECK(lag.At(due + 400ms) == 300ms);
+  lag.OnCaughtUp();
+  CHECK(lag.At(due + 400ms) == 100ms);
+  lag.OnCaughtUp();
+  CHECK(lag.At(due + 400ms) == 0ms);
+}
+
 /// Guards against events that a busy worker handles late as if they were new, and against
 /// new events that are taken for late ones.
 TEST_CASE("a worker knows the lag of events that waited, and forgets it afterwards")
--- a/src/wasabispar/net/worker.cpp
+++ b/src/wasabispar/net/worker.cpp
@@ -68,13 +68,14 @@
   void NoteWake()
   {
     const auto now = BootClock::now();
-    if (mLag.At(now) > kNegligibleLag) {
+    // Not Worker::Lag(), which includes the wake-ups that were noted before.
+    if (mLag.TimerDelay(now) > kNegligibleLag) {
       mLag.OnWake(now);
       CatchUp(kCatchUpPasses);
     }
   }
 
-  /// Ends the lag of the last wake-up after @p aPasses passes of the event loop.
+  /// Ends the lag of a wake-up after @p aPasses passes of the event loop.
   void CatchUp(int aPasses)
   {
     if (aPasses == 0) {
@@ -115,7 +116,7 @@
 Duration
 Worker::Lag() const
 {
-  return std::max(Duration{}, mState->mLag.At(BootClock::now()));
+  return mState->mLag.At(BootClock::now());
 }
 
 void
