HttpServer: accept all connections that wait at once

Cause: one connection was accepted in each pass of the event loop. The lag of the worker ends 8 passes after a late wake-up, so the later ones of many connections that had waited were read without a lag, and their requests were forwarded with a time left that was too long by the time waited.

Change: after the first connection, the others in the listen backlog are accepted in the same pass.

--- a/src/wasabispar/net/http_server.cpp
+++ b/src/wasabispar/net/http_server.cpp
@@ -34,6 +34,7 @@
     // The listener may have been closed after this connection was accepted.
     if (!aError) {
       self->StartSession(std::move(aSocket));
+      self->AcceptBacklog();
     }
     if (!self->mAcceptor || !self->mAcceptor->is_open()) {
       return;
@@ -85,10 +86,12 @@
 }
 
 void
-HttpServer::State::AcceptBacklogAndClose()
+HttpServer::State::AcceptBacklog()
 {
   beast::error_code error;
-  mAcceptor->cancel(error);
+  if (!mAcceptor || !mAcceptor->is_open()) {
+    return;
+  }
   mAcceptor->non_blocking(true, error);
   while (!error) {
     tcp::socket socket(NextWorker());
@@ -97,6 +100,14 @@
       StartSession(std::move(socket));
     }
   }
+}
+
+void
+HttpServer::State::AcceptBacklogAndClose()
+{
+  beast::error_code error;
+  mAcceptor->cancel(error);
+  AcceptBacklog();
   mAcceptor->close(error);
   mAcceptRetryTimer->cancel();
 }
--- a/src/wasabispar/net/http_server_state.hpp
+++ b/src/wasabispar/net/http_server_state.hpp
@@ -55,6 +55,9 @@
   /// Calls Accept() after kAcceptRetryDelay.
   void AcceptLater();
   void StartSession(boost::asio::ip::tcp::socket aSocket);
+  /// Starts sessions for all connections in the listen backlog. After a lag of the worker
+  /// they are handled in the same pass of the event loop, before Worker::Lag() ends.
+  void AcceptBacklog();
   /// Starts sessions for the connections in the listen backlog and closes the listener.
   void AcceptBacklogAndClose();
   boost::asio::io_context& NextWorker();
--- a/src/wasabispar/net/loop_lag_test.cpp
+++ b/src/wasabispar/net/loop_lag_test.cpp
@@ -2,12 +2,18 @@
 /// @brief Tests of the lag of an event loop.
 #include "wasabispar/net/loop_lag.hpp"
 
+#include "wasabispar/net/http_server.hpp"
 #include "wasabispar/net/worker.hpp"
 #include "worker_calls.hpp"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <thread>
+#include <vector>
 
 using namespace wasabispar;
 using namespace std::chrono_literals;
@@ -58,3 +64,31 @@
   RunAndWait(worker, [&] { later = worker.Lag(); });
   CHECK(later < 100ms);
 }
+
+/// Guards against requests that are forwarded with the time in which their connections
+/// waited to be accepted: with one connection accepted in each pass of the event loop,
+/// the lag ended before the later ones were read.
+TEST_CASE("the lag counts for all connections that waited to be accepted")
+{
+  constexpr std::size_t kConnections = 40;
+  Worker worker;
+  std::vector<Duration> lags;
+  HttpServer server({ &worker.Context() }, {}, [&](HttpRequest, HttpRespondFn aRespond) {
+    lags.push_back(worker.Lag());
+    aRespond({});
+  });
+  REQUIRE(server.Start());
+  std::this_thread::sleep_for(50ms);
+  worker.Post([] { std::this_thread::sleep_for(600ms); });
+  boost::asio::io_context context;
+  std::vector<boost::asio::ip::tcp::socket> callers;
+  for (std::size_t i = 0; i < kConnections; ++i) {
+    callers.emplace_back(context).connect(
+      { boost::asio::ip::address_v4::loopback(), server.Port() });
+    boost::asio::write(callers.back(),
+                       boost::asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
+  }
+  CHECK(EventuallyOn(
+    worker, [&] { return lags.size() == kConnections; }, 5s));
+  RunAndWait(worker, [&] { CHECK(*std::ranges::min_element(lags) >= 300ms); });
+}
