Gateway: spread the return of rejected callers

Cause: a rejection stated the expected wait as it is, so the callers of a rejected burst returned together; and a shard that is down delayed the callers of fan-outs that can be answered without it. Change: where the settings state the VM's link or processor, Retry-After is the wait for as many parts as an answer needs, within 50 ms and 1 s, extended at random by up to a quarter of it or 50 ms, whichever is more. Other deployments are served as before.

--- a/include/wasabispar/gateway/gateway.hpp
+++ b/include/wasabispar/gateway/gateway.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "wasabispar/base/metrics.hpp"
+#include "wasabispar/base/random.hpp"
 #include "wasabispar/gateway/protocol.hpp"
 #include "wasabispar/gateway/request_trace.hpp"
 #include "wasabispar/gateway/service_pool.hpp"
@@ -13,6 +14,7 @@
 #include "wasabispar/routing/crash_limiter.hpp"
 #include "wasabispar/routing/route.hpp"
 #include "wasabispar/routing/upstream_directory.hpp"
+#include "wasabispar/routing/vm_capacity.hpp"
 #include "wasabispar/routing/weighted_choice.hpp"
 
 #include <functional>
@@ -44,6 +46,9 @@
   /// Whether so many VMs serve callers that the requests of single services must be
   /// balanced over their upstreams. If empty, there are few.
   std::function<bool()> mIsLargeFleet;
+  /// What is known of this VM's link and processor. If anything is stated, callers may
+  /// contend for insufficient capacity: see docs/design/contention.md.
+  VmCapacity mVmCapacity;
   /// Called when an upstream announced in an answer that it leaves. Must report the
   /// change by Gateway::OnUpstreamChanges(), before it returns if it is to take effect at
   /// once.
@@ -190,6 +195,8 @@
   GatewayMetrics mMetrics;
   TraceLog mTraceLog;
   CrashLimiter mCrashLimiter;
+  /// Extends the retry delays of rejections.
+  RandomFn mRandom = SeededRandom(EntropySeed());
   /// Null until the first SetRoutes().
   RouteTablePtr mRoutes;
   std::map<ServiceName, std::unique_ptr<ServicePool>> mPools;
--- a/src/wasabispar/gateway/active_request.hpp
+++ b/src/wasabispar/gateway/active_request.hpp
@@ -158,8 +158,12 @@
   bool IsOutsideRegions() const;
   /// Whether an upstream may have run a part.
   bool MayHaveRun() const;
-  /// Time after which all parts can be expected to find a free upstream.
+  /// Time after which the caller should return.
   Duration RetryAfter(TimePoint aNow) const;
+  /// Time after which the parts can be expected to find a free upstream, extended at
+  /// random if the capacity of the VM is stated: as many parts as an answer needs, else
+  /// all.
+  Duration CapacityDelay(TimePoint aNow) const;
   /// Sends the response, writes the trace and removes the request from the gateway. Only
   /// the first call has an effect.
   void Finish(HttpResponse aResponse, std::string_view aOutcome);
--- a/src/wasabispar/gateway/active_request_end.cpp
+++ b/src/wasabispar/gateway/active_request_end.cpp
@@ -3,6 +3,7 @@
 #include "wasabispar/gateway/active_request.hpp"
 
 #include "wasabispar/routing/record_merge.hpp"
+#include "wasabispar/routing/retry_delay.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -107,18 +108,32 @@
 Duration
 ActiveRequest::RetryAfter(TimePoint aNow) const
 {
-  auto after = kMinRetryAfter;
   std::optional<Duration> quiet;
+  for (const auto& part : mParts) {
+    quiet = std::max(quiet, part.mServicePool->ReturnDelay(part.mScope.mRegions, aNow));
+  }
+  return std::max(quiet.value_or(Duration::zero()), CapacityDelay(aNow));
+}
+
+Duration
+ActiveRequest::CapacityDelay(TimePoint aNow) const
+{
+  std::vector<Duration> waits;
   for (const auto& part : mParts) {
     const auto& pool = *part.mServicePool;
     const auto& regions = part.mScope.mRegions;
-    quiet = std::max(quiet, pool.ReturnDelay(regions, aNow));
     const bool isDown = pool.UsableCount(regions) == 0;
-    const auto wait =
-      pool.ExpectedWait(regions, mRoute.mPriority, mFanOutState.AnswerBy(), aNow);
-    after = std::max(after, isDown ? kMaxRetryAfter / 2 : wait);
+    waits.push_back(isDown ? kMaxRetryAfter / 2
+                           : pool.ExpectedWait(regions, mRoute.mPriority,
+                                               mFanOutState.AnswerBy(), aNow));
+  }
+  std::ranges::sort(waits);
+  if (!mGateway.mOptions.mVmCapacity.IsStated()) {
+    return std::clamp(waits.back(), kMinRetryAfter, kMaxRetryAfter);
   }
-  return std::max(quiet.value_or(Duration::zero()), std::min(after, kMaxRetryAfter));
+  // An answer needs only the required number of parts.
+  return RetryDelay(waits[mFanOutState.Required() - 1],
+                    { kMinRetryAfter, kMaxRetryAfter }, mGateway.mRandom);
 }
 
 void
