Gateway: queue requests that return early behind the others

Cause: a caller that retries immediately got a further chance at the capacity with each attempt, while those that honour Retry-After waited. Change: where the settings state the VM's link or processor, a VM records the requests that it rejected as unavailable, by fingerprint, until the stated time (at most 4,096, for at most 2 s). One that returns earlier waits behind the others of its priority. The trace has the step returned-early, the metrics count it. With the rank ignored by the queue, two tests fail; with nothing recorded, the gateway's test fails.

--- a/include/wasabispar/gateway/gateway.hpp
+++ b/include/wasabispar/gateway/gateway.hpp
@@ -12,6 +12,7 @@
 #include "wasabispar/net/memory_budget.hpp"
 #include "wasabispar/net/worker.hpp"
 #include "wasabispar/routing/crash_limiter.hpp"
+#include "wasabispar/routing/recent_rejections.hpp"
 #include "wasabispar/routing/route.hpp"
 #include "wasabispar/routing/upstream_directory.hpp"
 #include "wasabispar/routing/vm_capacity.hpp"
@@ -105,6 +106,8 @@
   void CountColdWithdrawal(const ServiceName& aService);
   /// @brief Counts a malformed load that an upstream stated.
   void CountInvalidLoad(const ServiceName& aService);
+  /// @brief Counts a request that returned earlier than its rejection stated.
+  void CountEarlyReturn();
   /// @brief Counts a finished exchange by the step that ended it.
   void CountExchange(TraceStep aStep);
 };
@@ -195,6 +198,8 @@
   GatewayMetrics mMetrics;
   TraceLog mTraceLog;
   CrashLimiter mCrashLimiter;
+  /// Rejected requests whose callers are to return later.
+  RecentRejections mRejections;
   /// Extends the retry delays of rejections.
   RandomFn mRandom = SeededRandom(EntropySeed());
   /// Null until the first SetRoutes().
--- a/include/wasabispar/gateway/request_trace.hpp
+++ b/include/wasabispar/gateway/request_trace.hpp
@@ -44,6 +44,9 @@
   /// Not sent before another part completes, because upstreams crashed while they ran the
   /// request. Figure as for Blocked.
   Held,
+  /// The request was rejected here and returned before the time that was stated, so it
+  /// waits behind the others of its priority.
+  ReturnedEarly,
   /// The part is abandoned because no upstream is left. Figure: number of upstreams
   /// tried, or before the first send the expected wait in the queue in microseconds.
   PartGivenUp,
--- a/include/wasabispar/gateway/service_pool.hpp
+++ b/include/wasabispar/gateway/service_pool.hpp
@@ -286,7 +286,8 @@
   /// in
   /// @p aRegions. @p aAnswerBy is the last time at which its answer is on time.
   Duration ExpectedWait(const PermittedRegions& aRegions, std::uint32_t aPriority,
-                        TimePoint aAnswerBy, TimePoint aNow) const;
+                        TimePoint aAnswerBy, TimePoint aNow,
+                        WaitRank aRank = WaitRank::Regular) const;
 
   /// @brief Starts waiting requests as far as upstreams are free.
   void DispatchQueue();
--- a/src/wasabispar/gateway/active_request.cpp
+++ b/src/wasabispar/gateway/active_request.cpp
@@ -103,6 +103,7 @@
   for (auto& part : mParts) {
     part.mServicePool->OnRequest(now);
   }
+  RankCaller(now);
   if (!AbandonUnservableParts(now)) {
     Refuse(FailureReason());
     return;
@@ -127,8 +128,8 @@
     const auto& pool = *mParts[i].mServicePool;
     const auto& scope = mParts[i].mScope;
     const auto expected = pool.BestExpectedLatency(scope, aNow);
-    const auto wait =
-      pool.ExpectedWait(scope.mRegions, mRoute.mPriority, mFanOutState.AnswerBy(), aNow);
+    const auto wait = pool.ExpectedWait(scope.mRegions, mRoute.mPriority,
+                                        mFanOutState.AnswerBy(), aNow, mRank);
     if (!expected || aNow + wait >= LatestSend(mParts[i], *expected)) {
       mTrace.Add(TraceStep::PartGivenUp, i, {}, ToMicroseconds(wait), aNow);
       mFanOutState.OnLost(i);
--- a/src/wasabispar/gateway/active_request.hpp
+++ b/src/wasabispar/gateway/active_request.hpp
@@ -81,6 +81,12 @@
     std::optional<UpstreamReply> mFailure;
   };
 
+  /// Sets mRank: a caller that returns earlier than it was told waits behind the others.
+  void RankCaller(TimePoint aNow);
+  /// Remembers the request, whose rejection states this time.
+  void RecordRejection(Duration aRetryAfter, TimePoint aNow);
+  /// The same for each attempt of a caller.
+  RequestFingerprint Fingerprint() const;
   /// Abandons the parts that no upstream can answer in time; returns false when too few
   /// parts are left.
   bool AbandonUnservableParts(TimePoint aNow);
@@ -184,6 +190,8 @@
   RequestTrace mTrace;
   std::vector<Part> mParts;
   FanOutState mFanOutState;
+  /// The rank of the parts among those that wait.
+  WaitRank mRank = WaitRank::Regular;
   /// Start() is sending the parts; no decision is made until all were sent.
   bool mIsStarting = true;
   bool mIsFinished = false;
--- a/src/wasabispar/gateway/active_request_end.cpp
+++ b/src/wasabispar/gateway/active_request_end.cpp
@@ -98,7 +98,9 @@
   const auto now = BootClock::now();
   if (aReason == RefusalReason::Unavailable ||
       aReason == RefusalReason::NoPermittedUpstream) {
-    refusal.mRetryAfter = RetryAfter(now);
+    const auto retryAfter = RetryAfter(now);
+    refusal.mRetryAfter = retryAfter;
+    RecordRejection(retryAfter, now);
   } else if (aReason == RefusalReason::Quarantined) {
     refusal.mRetryAfter = BlockedUntil(now).value_or(now) - now;
   }
--- a/src/wasabispar/gateway/active_request_send.cpp
+++ b/src/wasabispar/gateway/active_request_send.cpp
@@ -28,7 +28,7 @@
     case PlacementResult::Kind::Found:
       // Requests that are ahead in the queue are sent first.
       if (part.mServicePool->Queue().CountAhead(mRoute.mPriority, mFanOutState.AnswerBy(),
-                                                now) == 0) {
+                                                now, mRank) == 0) {
         Send(aPart, placement.mReplica, aStep);
         return;
       }
@@ -79,18 +79,21 @@
   auto& part = mParts[aPart];
   auto& queue = part.mServicePool->Queue();
   const auto now = BootClock::now();
-  const auto ahead = queue.CountAhead(mRoute.mPriority, mFanOutState.AnswerBy(), now);
+  const auto ahead =
+    queue.CountAhead(mRoute.mPriority, mFanOutState.AnswerBy(), now, mRank);
   mTrace.Add(TraceStep::Queued, aPart, {}, ahead, now);
   // A large request may wait for bytes in flight while others can start.
   const bool fitsAll =
     part.mScope.mRegions.AreAll() && part.mScope.mBodyBytes <= kLargeRequestBytes;
   const auto reach =
     fitsAll ? WaitQueue::Reach::AllUpstreams : WaitQueue::Reach::SomeUpstreams;
-  part.mQueueEntry = queue.Push(mRoute.mPriority, mFanOutState.AnswerBy(), reach,
-                                [weak = weak_from_this(), aPart, aStep] {
-                                  const auto self = weak.lock();
-                                  return !self || self->TryLaunch(aPart, aStep);
-                                });
+  part.mQueueEntry = queue.Push(
+    mRoute.mPriority, mFanOutState.AnswerBy(), reach,
+    [weak = weak_from_this(), aPart, aStep] {
+      const auto self = weak.lock();
+      return !self || self->TryLaunch(aPart, aStep);
+    },
+    mRank);
   part.mServicePool->DispatchQueue();
 }
 
--- a/src/wasabispar/gateway/request_trace.cpp
+++ b/src/wasabispar/gateway/request_trace.cpp
@@ -49,6 +49,8 @@
       return "held";
     case TraceStep::Blocked:
       return "blocked";
+    case TraceStep::ReturnedEarly:
+      return "returned-early";
     case TraceStep::PartGivenUp:
       break;
   }
--- a/src/wasabispar/gateway/service_pool.cpp
+++ b/src/wasabispar/gateway/service_pool.cpp
@@ -459,9 +459,9 @@
 
 Duration
 ServicePool::ExpectedWait(const PermittedRegions& aRegions, std::uint32_t aPriority,
-                          TimePoint aAnswerBy, TimePoint aNow) const
+                          TimePoint aAnswerBy, TimePoint aNow, WaitRank aRank) const
 {
-  const auto ahead = mQueue.CountAhead(aPriority, aAnswerBy, aNow);
+  const auto ahead = mQueue.CountAhead(aPriority, aAnswerBy, aNow, aRank);
   const auto candidates = Candidates({ aRegions, {} }, aNow);
   const bool isAtLimit =
     !candidates.empty() &&
--- a/src/wasabispar/routing/wait_queue.cpp
+++ b/src/wasabispar/routing/wait_queue.cpp
@@ -20,10 +20,10 @@
 
 WaitQueue::EntryId
 WaitQueue::Push(std::uint32_t aPriority, TimePoint aAnswerBy, Reach aReach,
-                StartFn aStart)
+                StartFn aStart, WaitRank aRank)
 {
   const auto id = mNextId++;
-  const Key key{ aPriority, aAnswerBy, id };
+  const Key key{ aPriority, aRank, aAnswerBy, id };
   mWaiting.emplace(key, Entry{ aReach, std::move(aStart) });
   mKeysById.emplace(id, key);
   return id;
@@ -52,11 +52,13 @@
   bool goesOn = true;
   for (auto next = mWaiting.begin(); goesOn && next != mWaiting.end();) {
     const auto priority = next->first.mPriority;
-    const Key first{ priority, TimePoint::min(), 0 };
-    const Key firstOnTime{ priority, aNow, 0 };
-    const Key end{ priority + 1, TimePoint::min(), 0 };
-    goesOn = DispatchRange(firstOnTime, end, budget) &&
-             DispatchRange(first, firstOnTime, budget);
+    const auto first = FirstOf(priority, WaitRank::Regular);
+    const Key firstOnTime{ priority, WaitRank::Regular, aNow, 0 };
+    const auto firstOfLast = FirstOf(priority, WaitRank::Last);
+    const auto end = FirstOf(priority + 1, WaitRank::Regular);
+    goesOn = DispatchRange(firstOnTime, firstOfLast, budget) &&
+             DispatchRange(first, firstOnTime, budget) &&
+             DispatchRange(firstOfLast, end, budget);
     next = mWaiting.lower_bound(end);
   }
   mIsDispatching = false;
@@ -83,22 +85,35 @@
   return true;
 }
 
+WaitQueue::Key
+WaitQueue::FirstOf(std::uint64_t aPriority, WaitRank aRank)
+{
+  return { aPriority, aRank, TimePoint::min(), 0 };
+}
+
+std::size_t
+WaitQueue::Count(const Key& aFirst, const Key& aEnd) const
+{
+  return static_cast<std::size_t>(
+    std::distance(mWaiting.lower_bound(aFirst), mWaiting.lower_bound(aEnd)));
+}
+
 std::size_t
-WaitQueue::CountAhead(std::uint32_t aPriority, TimePoint aAnswerBy, TimePoint aNow) const
+WaitQueue::CountAhead(std::uint32_t aPriority, TimePoint aAnswerBy, TimePoint aNow,
+                      WaitRank aRank) const
 {
-  const auto count = [this](const Key& aFirst, const Key& aEnd) {
-    return static_cast<std::size_t>(
-      std::distance(mWaiting.lower_bound(aFirst), mWaiting.lower_bound(aEnd)));
-  };
-  const Key first{ aPriority, TimePoint::min(), 0 };
-  const Key firstOnTime{ aPriority, aNow, 0 };
-  const Key own{ aPriority, aAnswerBy, 0 };
-  const auto moreUrgent = count({ 0, TimePoint::min(), 0 }, first);
+  const Key own{ aPriority, aRank, aAnswerBy, 0 };
+  const auto first = FirstOf(aPriority, WaitRank::Regular);
+  const auto moreUrgent = Count(FirstOf(0, WaitRank::Regular), first);
+  if (aRank == WaitRank::Last) {
+    return moreUrgent + Count(first, own);
+  }
+  const Key firstOnTime{ aPriority, WaitRank::Regular, aNow, 0 };
   if (aAnswerBy >= aNow) {
-    return moreUrgent + count(firstOnTime, own);
+    return moreUrgent + Count(firstOnTime, own);
   }
-  const Key end{ first.mPriority + 1, TimePoint::min(), 0 };
-  return moreUrgent + count(firstOnTime, end) + count(first, own);
+  return moreUrgent + Count(firstOnTime, FirstOf(aPriority, WaitRank::Last)) +
+         Count(first, own);
 }
 
 } // namespace wasabispar
--- a/src/wasabispar/routing/wait_queue_test.cpp
+++ b/src/wasabispar/routing/wait_queue_test.cpp
@@ -69,6 +69,31 @@
   CHECK(fixture.mStarted == "ecabd");
 }
 
+/// Guards against callers that overtake others by returning early, and against urgent
+/// ones that wait behind less urgent ones because they did.
+TEST_CASE("requests that returned early follow the others of their priority")
+{
+  Fixture fixture;
+  const auto pushLast = [&fixture](char aName, std::uint32_t aPriority) {
+    const auto start = [&fixture, aName] {
+      fixture.mStarted += aName;
+      return true;
+    };
+    fixture.mQueue.Push(aPriority, kNow + 10ms, WaitQueue::Reach::AllUpstreams, start,
+                        WaitRank::Last);
+  };
+  pushLast('a', 0);
+  pushLast('b', 1);
+  fixture.Push('c', 0, -10ms);
+  fixture.Push('d', 1, 50ms);
+  CHECK(fixture.mQueue.CountAhead(0, kNow + 90ms, kNow) == 0);
+  CHECK(fixture.mQueue.CountAhead(0, kNow - 5ms, kNow) == 1);
+  CHECK(fixture.mQueue.CountAhead(1, kNow + 1ms, kNow, WaitRank::Last) == 3);
+  fixture.mFreeSlots = 4;
+  fixture.mQueue.Dispatch(kNow);
+  CHECK(fixture.mStarted == "cadb");
+}
+
 /// Load pattern: for a second, half as many requests again as the service can run; each
 /// is on time if it starts within 50 ms.
 TEST_CASE("load pattern: in an overload, most of what the service runs is on time")
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -260,9 +260,11 @@
 }
 
 GatewayFixture::GatewayFixture(QuotasFn aQuotas, std::shared_ptr<MemoryBudget> aMemory,
-                               std::uint64_t aLargeRequestShare)
+                               std::uint64_t aLargeRequestShare,
+                               const VmCapacity& aVmCapacity)
 {
   GatewayOptions options;
+  options.mVmCapacity = aVmCapacity;
   options.mMemory = std::move(aMemory);
   if (options.mMemory) {
     options.mPools.mLargeRequestShare = [aLargeRequestShare] {
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -125,9 +125,11 @@
   /// connections.
   /// @param aMemory see GatewayOptions::mMemory; with a budget, this VM may have @p
   /// aLargeRequestShare bytes of large requests in flight to one upstream.
+  /// @param aVmCapacity see GatewayOptions::mVmCapacity.
   explicit GatewayFixture(QuotasFn aQuotas = {},
                           std::shared_ptr<MemoryBudget> aMemory = nullptr,
-                          std::uint64_t aLargeRequestShare = 0);
+                          std::uint64_t aLargeRequestShare = 0,
+                          const VmCapacity& aVmCapacity = {});
   ~GatewayFixture();
 
   /// @brief Adds an upstream of @p aService and waits until the gateway has processed the
