Gateway: reject what the VM's link or processor makes late

Cause: a fan-out to 54 shards with responses of 1,000 bytes takes a link of 14 Mbit/s for 31 ms. A VM with such a link, or one that is behind, accepted requests that became late for this alone, while other VMs could have answered them in time. Change: where the settings state limits.bandwidth_mbps, LinkLoad sums the expected bytes of the open requests. A request that would be on time with a free link and processor, but not with these bytes and the worker's lag, is rejected at once (503, not run, busy) with the time until they are free; within 10 s not a second time. The trace has the step vm-busy, requests_total the outcome busy.

--- a/include/wasabispar/gateway/gateway.hpp
+++ b/include/wasabispar/gateway/gateway.hpp
@@ -12,6 +12,7 @@
 #include "wasabispar/net/memory_budget.hpp"
 #include "wasabispar/net/worker.hpp"
 #include "wasabispar/routing/crash_limiter.hpp"
+#include "wasabispar/routing/link_load.hpp"
 #include "wasabispar/routing/recent_rejections.hpp"
 #include "wasabispar/routing/route.hpp"
 #include "wasabispar/routing/upstream_directory.hpp"
@@ -200,6 +201,10 @@
   CrashLimiter mCrashLimiter;
   /// Rejected requests whose callers are to return later.
   RecentRejections mRejections;
+  /// Requests that were rejected because this VM was busy, for longer than callers retry.
+  RecentRejections mBusyRejections{ { 4096, std::chrono::seconds(10) } };
+  /// Empty where the settings state no bandwidth.
+  std::optional<LinkLoad> mLinkLoad = LinkLoad::For(mOptions.mVmCapacity);
   /// Extends the retry delays of rejections.
   RandomFn mRandom = SeededRandom(EntropySeed());
   /// Null until the first SetRoutes().
--- a/include/wasabispar/gateway/protocol.hpp
+++ b/include/wasabispar/gateway/protocol.hpp
@@ -105,6 +105,8 @@
   /// No upstream in the regions in which the request may be served can run it; the
   /// request did not run.
   NoPermittedUpstream,
+  /// This VM's link or processor would make the answer late; the request did not run.
+  Busy,
   /// Too many upstreams crashed while they ran the request; it was not sent again.
   Quarantined,
   /// The answer was lost; the request may have run.
@@ -114,7 +116,7 @@
 };
 
 /// @brief The name of a reason: `no-route`, `bad-request`, `not-configured`,
-/// `unavailable`, `no-permitted-upstream`, `quarantined`, `lost`, `timeout`.
+/// `unavailable`, `no-permitted-upstream`, `busy`, `quarantined`, `lost`, `timeout`.
 std::string_view
 ToText(RefusalReason aReason);
 
--- a/include/wasabispar/gateway/request_trace.hpp
+++ b/include/wasabispar/gateway/request_trace.hpp
@@ -47,6 +47,9 @@
   /// The request was rejected here and returned before the time that was stated, so it
   /// waits behind the others of its priority.
   ReturnedEarly,
+  /// The request is rejected because this VM's link or processor would make the answer
+  /// late. Figure: expected time until they are free in microseconds.
+  VmBusy,
   /// The part is abandoned because no upstream is left. Figure: number of upstreams
   /// tried, or before the first send the expected wait in the queue in microseconds.
   PartGivenUp,
--- a/src/wasabispar/gateway/active_request.cpp
+++ b/src/wasabispar/gateway/active_request.cpp
@@ -108,6 +108,11 @@
     Refuse(FailureReason());
     return;
   }
+  if (const auto wait = VmBusyTime(now)) {
+    RefuseAsBusy(*wait, now);
+    return;
+  }
+  ExpectResponses();
   for (std::size_t i = 0; i < mParts.size(); ++i) {
     if (mFanOutState.IsOpen(i)) {
       Launch(i, TraceStep::Sent);
@@ -133,7 +138,9 @@
     if (!expected || aNow + wait >= LatestSend(mParts[i], *expected)) {
       mTrace.Add(TraceStep::PartGivenUp, i, {}, ToMicroseconds(wait), aNow);
       mFanOutState.OnLost(i);
+      continue;
     }
+    mParts[i].mUpstreamTime = wait + *expected;
   }
   return mFanOutState.Decide(aNow) != FanOutDecision::Fail;
 }
@@ -219,6 +226,7 @@
   ServicePool::OnExchangeEnd(*exchange.mReplica, aExchange);
   exchange.mReplica->mLargeRequests.OnEnded(aExchange);
   const auto httpEnd = aResult.mEnd;
+  RecordResponseSize(part, aResult);
   if (mIsCallerDisconnected) {
     RecordEnd(exchange, httpEnd, {});
     exchange.mReplica->mLoad.OnAbandoned(aExchange);
@@ -239,6 +247,9 @@
       RetryOrAbandon(aPart, end, now);
     }
   }
+  if (!mFanOutState.IsOpen(aPart)) {
+    EndExpectation(part);
+  }
   if (!mIsFinished) {
     LaunchHeldParts();
     ApplyDecision();
--- a/src/wasabispar/gateway/active_request.hpp
+++ b/src/wasabispar/gateway/active_request.hpp
@@ -65,6 +65,10 @@
     RequestPart mIdentity;
     /// The upstreams to which the part may still be sent.
     PlacementScope mScope;
+    /// Time to the response that was expected at the start of the request.
+    Duration mUpstreamTime{};
+    /// Bytes counted in Gateway::mLinkLoad for the response.
+    std::uint64_t mExpectedBytes = 0;
     std::vector<Exchange> mOpenExchanges;
     /// Number of upstreams that may have run or may still run the part.
     std::uint32_t mPossibleRunCount = 0;
@@ -85,6 +89,16 @@
   void RankCaller(TimePoint aNow);
   /// Remembers the request, whose rejection states this time.
   void RecordRejection(Duration aRetryAfter, TimePoint aNow);
+  /// The time until this VM's link and processor are expected to be free, if the request
+  /// would be late because of them and was not rejected for it before; else empty.
+  std::optional<Duration> VmBusyTime(TimePoint aNow);
+  LinkDemand DemandOnLink(TimePoint aNow) const;
+  void RefuseAsBusy(Duration aWait, TimePoint aNow);
+  /// Counts the responses of the open parts as expected.
+  void ExpectResponses();
+  /// The response of the part is no longer expected.
+  void EndExpectation(Part& aPart);
+  void RecordResponseSize(const Part& aPart, const HttpExchangeResult& aResult);
   /// The same for each attempt of a caller.
   RequestFingerprint Fingerprint() const;
   /// Abandons the parts that no upstream can answer in time; returns false when too few
@@ -170,6 +184,8 @@
   /// random if the capacity of the VM is stated: as many parts as an answer needs, else
   /// all.
   Duration CapacityDelay(TimePoint aNow) const;
+  /// The delay to state for a wait, extended at random.
+  Duration StatedDelay(Duration aWait) const;
   /// Sends the response, writes the trace and removes the request from the gateway. Only
   /// the first call has an effect.
   void Finish(HttpResponse aResponse, std::string_view aOutcome);
--- a/src/wasabispar/gateway/active_request_end.cpp
+++ b/src/wasabispar/gateway/active_request_end.cpp
@@ -134,8 +134,13 @@
     return std::clamp(waits.back(), kMinRetryAfter, kMaxRetryAfter);
   }
   // An answer needs only the required number of parts.
-  return RetryDelay(waits[mFanOutState.Required() - 1],
-                    { kMinRetryAfter, kMaxRetryAfter }, mGateway.mRandom);
+  return StatedDelay(waits[mFanOutState.Required() - 1]);
+}
+
+Duration
+ActiveRequest::StatedDelay(Duration aWait) const
+{
+  return RetryDelay(aWait, { kMinRetryAfter, kMaxRetryAfter }, mGateway.mRandom);
 }
 
 void
@@ -150,6 +155,7 @@
   const auto now = BootClock::now();
   for (auto& part : mParts) {
     LeaveQueue(part);
+    EndExpectation(part);
     // The response is complete; slower exchanges of the request may run on for a while.
     part.mReply.reset();
     part.mFailure.reset();
--- a/src/wasabispar/gateway/gateway.cpp
+++ b/src/wasabispar/gateway/gateway.cpp
@@ -56,6 +56,8 @@
       return "unavailable";
     case RefusalReason::NoPermittedUpstream:
       return "no-permitted-upstream";
+    case RefusalReason::Busy:
+      return "busy";
     case RefusalReason::Quarantined:
       return "quarantined";
     case RefusalReason::Lost:
--- a/src/wasabispar/gateway/request_trace.cpp
+++ b/src/wasabispar/gateway/request_trace.cpp
@@ -51,6 +51,8 @@
       return "blocked";
     case TraceStep::ReturnedEarly:
       return "returned-early";
+    case TraceStep::VmBusy:
+      return "vm-busy";
     case TraceStep::PartGivenUp:
       break;
   }
--- a/tests/gateway/contention_test.cpp
+++ b/tests/gateway/contention_test.cpp
@@ -44,8 +44,61 @@
   }
 };
 
+/// Links of 33 kB/s and of unknown bandwidth, and responses that take the first 0.3 s.
+constexpr VmCapacity kSlowLink{ 33'000, {} };
+constexpr VmCapacity kUnknownLink{ {}, 0.12 };
+
+struct BusyLink : GatewayFixture
+{
+  explicit BusyLink(const VmCapacity& aCapacity)
+    : GatewayFixture({}, nullptr, 0, aCapacity)
+  {
+    auto& upstream = Add("s", "u");
+    OnWorker([&upstream] {
+      upstream.mBody = std::string(10'000, 'x');
+      upstream.mDelay = 200ms;
+    });
+    auto route = MakeRoute("read", ServiceName("s"));
+    route.mObjective = 1s;
+    route.mTimeout = 2s;
+    SetRoutes({ route });
+    SendAndWait("/read/0");
+  }
+
+  /// Sends five requests at the same time; returns how many were answered.
+  int AnsweredOfFive()
+  {
+    std::vector<std::future<GatewayAnswer>> answers;
+    for (int i = 1; i <= 5; ++i) {
+      answers.push_back(Send("/read/" + std::to_string(i), 3s));
+    }
+    int answered = 0;
+    for (auto& answer : answers) {
+      answered += answer.get().mResponse.mStatus == 200 ? 1 : 0;
+    }
+    return answered;
+  }
+};
+
 } // namespace
 
+/// Guards against requests that the link makes late, and against callers that are
+/// rejected for this again and again. Load pattern: the link carries three of five
+/// requests in time.
+TEST_CASE("a VM rejects what its link cannot carry in time, each request once")
+{
+  BusyLink gateway(kSlowLink);
+  CHECK(gateway.AnsweredOfFive() == 3);
+  CHECK(gateway.AnsweredOfFive() == 5);
+}
+
+/// Guards against rejections where the settings state no bandwidth.
+TEST_CASE("without a stated bandwidth nothing is rejected for the link")
+{
+  BusyLink gateway(kUnknownLink);
+  CHECK(gateway.AnsweredOfFive() == 5);
+}
+
 /// Guards against callers that gain by retrying immediately.
 TEST_CASE_FIXTURE(LimitedService<true>, "a rejected request that returns early is known")
 {
