Gateway: report the expected bytes and the rejections of a busy VM

Cause: operators saw single busy rejections in traces, but neither how many there were nor how much the VM still expected. Change: log event vm-busy, at most once a second, and gauge wasabispar_gateway_expected_bytes, both only where the settings state the bandwidth.

--- a/include/wasabispar/gateway/gateway.hpp
+++ b/include/wasabispar/gateway/gateway.hpp
@@ -109,6 +109,8 @@
   void CountInvalidLoad(const ServiceName& aService);
   /// @brief Counts a request that returned earlier than its rejection stated.
   void CountEarlyReturn();
+  /// @brief Sets the expected size of the responses to open requests.
+  void SetExpectedBytes(std::uint64_t aBytes);
   /// @brief Counts a finished exchange by the step that ended it.
   void CountExchange(TraceStep aStep);
 };
@@ -160,6 +162,9 @@
   /// Logs when many upstreams begin, or cease, to refuse connections.
   void ReportConnectionPressure(TimePoint aNow);
   void PublishCrashes(TimePoint aNow);
+  /// Reports the load of the link, and logs rejections of requests that it or the
+  /// processor would make late.
+  void ReportLinkLoad(TimePoint aNow);
   /// Logs a crash, and reports it at once if the other VMs must know it.
   void OnCrash(const UpstreamCrash& aCrash);
   /// An answer of the upstream to this request announced that it leaves.
@@ -203,6 +208,9 @@
   RecentRejections mRejections;
   /// Requests that were rejected because this VM was busy, for longer than callers retry.
   RecentRejections mBusyRejections{ { 4096, std::chrono::seconds(10) } };
+  /// Rejections of this kind since mBusyReportedAt.
+  std::uint64_t mBusyRejectionCount = 0;
+  TimePoint mBusyReportedAt{};
   /// Empty where the settings state no bandwidth.
   std::optional<LinkLoad> mLinkLoad = LinkLoad::For(mOptions.mVmCapacity);
   /// Extends the retry delays of rejections.
--- a/include/wasabispar/routing/link_load.hpp
+++ b/include/wasabispar/routing/link_load.hpp
@@ -60,6 +60,8 @@
   /// @brief Responses whose expected size was @p aBytes have ended, or are no longer
   /// expected.
   void OnEnded(std::uint64_t aBytes) { mExpectedBytes -= aBytes; }
+  /// @brief The size of all responses that are expected now.
+  std::uint64_t ExpectedBytes() const { return mExpectedBytes; }
   /// @brief Expected time until the link has carried what is expected, and the worker,
   /// which is @p aLag behind, has caught up.
   Duration TimeUntilFree(Duration aLag) const;
--- a/src/wasabispar/gateway/active_request_contention.cpp
+++ b/src/wasabispar/gateway/active_request_contention.cpp
@@ -85,6 +85,7 @@
 ActiveRequest::RefuseAsBusy(Duration aWait, TimePoint aNow)
 {
   const auto retryAfter = StatedDelay(aWait);
+  ++mGateway.mBusyRejectionCount;
   mTrace.Add(TraceStep::VmBusy, 0, {}, ToMicroseconds(aWait), aNow);
   RecordRejection(retryAfter, aNow);
   mGateway.mBusyRejections.OnRejected(Fingerprint(), TimePoint::max(), aNow);
@@ -129,13 +130,4 @@
   return mParts.front().mIdentity.mRequest;
 }
 
-void
-GatewayMetrics::CountEarlyReturn()
-{
-  mMetrics
-    .Counter("wasabispar_gateway_early_returns_total",
-             "Requests that returned before the time that their rejection stated.")
-    .Increment();
-}
-
 } // namespace wasabispar
--- a/src/wasabispar/gateway/gateway.cpp
+++ b/src/wasabispar/gateway/gateway.cpp
@@ -225,6 +225,7 @@
   }
   PublishCrashes(BootClock::now());
   ReportConnectionPressure(BootClock::now());
+  ReportLinkLoad(BootClock::now());
   mMetrics.mTraceLinesDropped.Increment(static_cast<double>(mTraceLog.TakeDropped()));
 }
 
