--- a/include/wasabispar/gateway/gateway.hpp
+++ b/include/wasabispar/gateway/gateway.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "wasabispar/base/metrics.hpp"
+#include "wasabispar/base/random.hpp"
 #include "wasabispar/gateway/protocol.hpp"
 #include "wasabispar/gateway/request_trace.hpp"
 #include "wasabispar/gateway/service_pool.hpp"
@@ -11,8 +12,11 @@
 #include "wasabispar/net/memory_budget.hpp"
 #include "wasabispar/net/worker.hpp"
 #include "wasabispar/routing/crash_limiter.hpp"
+#include "wasabispar/routing/link_load.hpp"
+#include "wasabispar/routing/recent_rejections.hpp"
 #include "wasabispar/routing/route.hpp"
 #include "wasabispar/routing/upstream_directory.hpp"
+#include "wasabispar/routing/vm_capacity.hpp"
 #include "wasabispar/routing/weighted_choice.hpp"
 
 #include <functional>
@@ -44,6 +48,9 @@
   /// Whether so many VMs serve callers that the requests of single services must be
   /// balanced over their upstreams. If empty, there are few.
   std::function<bool()> mIsLargeFleet;
+  /// What is known of this VM's link and processor. If anything is stated, callers may
+  /// contend for insufficient capacity: see docs/design/contention.md.
+  VmCapacity mVmCapacity;
   /// Called when an upstream announced in an answer that it leaves. Must report the
   /// change by Gateway::OnUpstreamChanges(), before it returns if it is to take effect at
   /// once.
@@ -100,6 +107,10 @@
   void CountWithdrawal(const Replica& aReplica, TimePoint aNow);
   /// @brief Counts a malformed load that an upstream stated.
   void CountInvalidLoad(const ServiceName& aService);
+  /// @brief Counts a request that returned earlier than its rejection stated.
+  void CountEarlyReturn();
+  /// @brief Sets the expected size of the responses to open requests.
+  void SetExpectedBytes(std::uint64_t aBytes);
   /// @brief Counts a finished exchange by the step that ended it.
   void CountExchange(TraceStep aStep);
 };
@@ -151,6 +162,9 @@
   /// Logs when many upstreams begin, or cease, to refuse connections.
   void ReportConnectionPressure(TimePoint aNow);
   void PublishCrashes(TimePoint aNow);
+  /// Reports the load of the link, and logs rejections of requests that it or the
+  /// processor would make late.
+  void ReportLinkLoad(TimePoint aNow);
   /// Logs a crash, and reports it at once if the other VMs must know it.
   void OnCrash(const UpstreamCrash& aCrash);
   /// An answer of the upstream to this request announced that it leaves.
@@ -190,6 +204,17 @@
   GatewayMetrics mMetrics;
   TraceLog mTraceLog;
   CrashLimiter mCrashLimiter;
+  /// Rejected requests whose callers are to return later.
+  RecentRejections mRejections;
+  /// Requests that were rejected because this VM was busy, for longer than callers retry.
+  RecentRejections mBusyRejections{ { 4096, std::chrono::seconds(10) } };
+  /// Rejections of this kind since mBusyReportedAt.
+  std::uint64_t mBusyRejectionCount = 0;
+  TimePoint mBusyReportedAt{};
+  /// Empty where the settings state no bandwidth.
+  std::optional<LinkLoad> mLinkLoad = LinkLoad::For(mOptions.mVmCapacity);
+  /// Extends the retry delays of rejections.
+  RandomFn mRandom = SeededRandom(EntropySeed());
   /// Null until the first SetRoutes().
   RouteTablePtr mRoutes;
   std::map<ServiceName, std::unique_ptr<ServicePool>> mPools;
--- a/src/wasabispar/gateway/active_request.cpp
+++ b/src/wasabispar/gateway/active_request.cpp
@@ -103,10 +103,16 @@
   for (auto& part : mParts) {
     part.mServicePool->OnRequest(now);
   }
+  RankCaller(now);
   if (!AbandonUnservableParts(now)) {
     Refuse(FailureReason());
     return;
   }
+  if (const auto wait = VmBusyTime(now)) {
+    RefuseAsBusy(*wait, now);
+    return;
+  }
+  ExpectResponses();
   for (std::size_t i = 0; i < mParts.size(); ++i) {
     if (mFanOutState.IsOpen(i)) {
       Launch(i, TraceStep::Sent);
@@ -127,12 +133,14 @@
     const auto& pool = *mParts[i].mServicePool;
     const auto& scope = mParts[i].mScope;
     const auto expected = pool.BestExpectedLatency(scope, aNow);
-    const auto wait =
-      pool.ExpectedWait(scope.mRegions, mRoute.mPriority, mFanOutState.AnswerBy(), aNow);
+    const auto wait = pool.ExpectedWait(scope.mRegions, mRoute.mPriority,
+                                        mFanOutState.AnswerBy(), aNow, mRank);
     if (!expected || aNow + wait >= LatestSend(mParts[i], *expected)) {
       mTrace.Add(TraceStep::PartGivenUp, i, {}, ToMicroseconds(wait), aNow);
       mFanOutState.OnLost(i);
+      continue;
     }
+    mParts[i].mUpstreamTime = wait + *expected;
   }
   return mFanOutState.Decide(aNow) != FanOutDecision::Fail;
 }
@@ -218,6 +226,7 @@
   ServicePool::OnExchangeEnd(*exchange.mReplica, aExchange);
   exchange.mReplica->mLargeRequests.OnEnded(aExchange);
   const auto httpEnd = aResult.mEnd;
+  RecordResponseSize(part, aResult);
   if (mIsCallerDisconnected) {
     RecordEnd(exchange, httpEnd, {});
     exchange.mReplica->mLoad.OnAbandoned(aExchange);
@@ -238,6 +247,9 @@
       RetryOrAbandon(aPart, end, now);
     }
   }
+  if (!mFanOutState.IsOpen(aPart)) {
+    EndExpectation(part);
+  }
   if (!mIsFinished) {
     LaunchHeldParts();
     ApplyDecision();
--- a/src/wasabispar/gateway/gateway.cpp
+++ b/src/wasabispar/gateway/gateway.cpp
@@ -56,6 +56,8 @@
       return "unavailable";
     case RefusalReason::NoPermittedUpstream:
       return "no-permitted-upstream";
+    case RefusalReason::Busy:
+      return "busy";
     case RefusalReason::Quarantined:
       return "quarantined";
     case RefusalReason::Lost:
@@ -223,6 +225,7 @@
   }
   PublishCrashes(BootClock::now());
   ReportConnectionPressure(BootClock::now());
+  ReportLinkLoad(BootClock::now());
   mMetrics.mTraceLinesDropped.Increment(static_cast<double>(mTraceLog.TakeDropped()));
 }
 
--- a/src/wasabispar/gateway/request_trace.cpp
+++ b/src/wasabispar/gateway/request_trace.cpp
@@ -49,6 +49,10 @@
       return "held";
     case TraceStep::Blocked:
       return "blocked";
+    case TraceStep::ReturnedEarly:
+      return "returned-early";
+    case TraceStep::VmBusy:
+      return "vm-busy";
     case TraceStep::PartGivenUp:
       break;
   }
