Log the data centre of an upstream with its changes

Cause: evacuation-started names a data centre, and no line told which upstreams are in it. Change: upstream-changed has the field data_centre. Result: the logs alone show which upstreams an evacuation excluded.

--- a/src/wasabispar/gateway/gateway.cpp
+++ b/src/wasabispar/gateway/gateway.cpp
@@ -440,6 +440,7 @@
              { { "upstream", record.mId.Text() },
                { "change", KindText(change.mKind) },
                { "service", record.mService.Text() },
+               { "data_centre", record.mDataCentre.Text() },
                { "address", record.mAddress.Text() } });
     const auto existing = mServiceByUpstream.find(record.mId);
     if (existing != mServiceByUpstream.end() && existing->second != record.mService) {
