wasabisparctl: collector of a request's lines from several logs

Cause: the cause of a failure follows from the request's own lines and from what its VM had logged on its upstreams and its own state. Change: LogCollector reads each log once and keeps the last lines on each upstream, on the evacuations and on the VM, the steps of the request being read, and the services of each route's parts. Its memory is bounded by the upstreams and routes, not by the length of the logs.

--- /dev/null
+++ b/include/wasabispar/app/log_collector.hpp
@@ -0,0 +1,54 @@
+/// @file
+/// @brief Collects from the lines of several logs what concerns one request.
+#pragma once
+
+#include "wasabispar/app/log_facts.hpp"
+#include "wasabispar/app/log_line.hpp"
+
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace wasabispar {
+
+/// @brief Reads each log once, line by line. Its memory is bounded by the upstreams of
+/// one VM and the routes, whatever the length of the logs.
+class LogCollector
+{
+public:
+  explicit LogCollector(std::string aRequestId)
+    : mRequestId(std::move(aRequestId))
+  {
+  }
+
+  /// @brief Begins the log of another VM, with its name until a line `start` names it.
+  void BeginVm(const std::string& aName);
+  /// @brief Takes one line of the current VM.
+  /// @return whether the line has an event.
+  bool OnLine(std::string_view aLine);
+  /// @brief Ends the last log and returns what was found.
+  LogFindings Finish();
+
+private:
+  void OnStart(const LogLine& aLine);
+  void OnStep(const LogLine& aLine);
+  void OnRequestEnd(const LogLine& aLine);
+  void OnUnrouted(const LogLine& aLine);
+  void OnUpstream(const LogLine& aLine);
+  void OnVmState(const LogLine& aLine);
+  void AddRequest(std::optional<LoggedEnd> aEnd);
+  void FlushSteps();
+  LogFact FactOf(const LogLine& aLine) const;
+
+  std::string mRequestId;
+  LogFindings mFindings;
+  VmFacts mVm;
+  std::uint64_t mLineCount = 0;
+  /// The steps of the request whose lines are being read; the daemon writes the lines of
+  /// a request without others in between.
+  std::string mStepsOf;
+  std::vector<LoggedStep> mSteps;
+};
+
+} // namespace wasabispar
