--- a/include/wasabispar/app/log_collector.hpp
+++ b/include/wasabispar/app/log_collector.hpp
@@ -32,6 +32,7 @@
 
 private:
   void OnStart(const LogLine& aLine);
+  void ForgetEarlierProcess(std::optional<std::int64_t> aStartedAtMs);
   void OnStep(const LogLine& aLine);
   void OnRequestEnd(const LogLine& aLine);
   void OnUnrouted(const LogLine& aLine);
--- a/include/wasabispar/app/log_facts.hpp
+++ b/include/wasabispar/app/log_facts.hpp
@@ -37,6 +37,9 @@
 public:
   /// @brief Adds a fact and drops the oldest of the same event beyond a bound.
   void Add(LogFact aFact);
+  /// @brief Drops facts from before @p aTimeMs, and those without a time.
+  void DropBefore(std::int64_t aTimeMs);
+  bool IsEmpty() const { return mFacts.empty(); }
   /// @brief The last fact of one of @p aEvents until @p aUntilMs; without a time, or for
   /// a fact without one, the order of the log decides. Null if there is none.
   const LogFact* Last(const std::vector<std::string_view>& aEvents,
--- a/src/wasabispar/app/log_collector.cpp
+++ b/src/wasabispar/app/log_collector.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 
 namespace wasabispar {
 
@@ -16,6 +17,9 @@
 /// Requests with the same id; callers use an id once.
 constexpr std::size_t kMaxRequests = 16;
 constexpr std::size_t kMaxDataCentres = 1000;
+/// Time by which the line `start` may follow other lines of its process. A VM has 0.084
+/// of a core, which delays the main thread.
+constexpr std::int64_t kStartLineDelayMs = 2000;
 
 constexpr std::array<std::string_view, 6> kUpstreamEvents{
   "upstream-changed", "upstream-announced-leaving", "upstream-quiet",
@@ -76,12 +80,28 @@
 {
   FlushSteps();
   const auto name = TextOf(aLine, "vm");
-  const bool isOther = mVm.mHasStart && mVm.mName != name;
-  const bool isMixed = mVm.mIsMixed || isOther;
-  mVm = {};
+  mVm.mIsMixed = mVm.mIsMixed || (mVm.mHasStart && mVm.mName != name);
   mVm.mName = name;
   mVm.mHasStart = true;
-  mVm.mIsMixed = isMixed;
+  mVm.mIsIncomplete = false;
+  ForgetEarlierProcess(aLine.TimeMs());
+}
+
+/// The store may be read on the worker before the main thread writes the line `start`.
+void
+LogCollector::ForgetEarlierProcess(std::optional<std::int64_t> aStartedAtMs)
+{
+  const auto since = aStartedAtMs ? *aStartedAtMs - kStartLineDelayMs
+                                  : std::numeric_limits<std::int64_t>::max();
+  mVm.mHistory.DropBefore(since);
+  for (auto& [dataCentre, events] : mVm.mEvacuations) {
+    events.DropBefore(since);
+  }
+  for (auto& [id, upstream] : mVm.mUpstreams) {
+    upstream.mHistory.DropBefore(since);
+  }
+  std::erase_if(mVm.mUpstreams,
+                [](const auto& aEntry) { return aEntry.second.mHistory.IsEmpty(); });
 }
 
 void
--- a/src/wasabispar/app/log_facts.cpp
+++ b/src/wasabispar/app/log_facts.cpp
@@ -35,6 +35,14 @@
   mFacts.push_back(std::move(aFact));
 }
 
+void
+FactHistory::DropBefore(std::int64_t aTimeMs)
+{
+  std::erase_if(mFacts, [aTimeMs](const LogFact& aFact) {
+    return !aFact.mTimeMs || *aFact.mTimeMs < aTimeMs;
+  });
+}
+
 const LogFact*
 FactHistory::Last(const std::vector<std::string_view>& aEvents,
                   std::optional<std::int64_t> aUntilMs) const
