wasabisparctl: explain a request from log files

Cause: a VM of the users' platform keeps no record of a request; what happened stands only in its log. Rotated files of a VM are read as one log. Exit code 1: no file names the request, 2: wrong usage or an unusable file.

--- a/include/wasabispar/app/ctl_options.hpp
+++ b/include/wasabispar/app/ctl_options.hpp
@@ -35,6 +35,8 @@
   std::vector<std::string> mArguments;
   /// Operator addresses, at least one.
   std::vector<Endpoint> mVms;
+  /// Log files for Explain; empty: ask the VMs.
+  std::vector<std::string> mLogFiles;
   bool mAsJson = false;
   /// Empty: no picture.
   std::string mSvgFile;
--- a/include/wasabispar/app/ctl_run.hpp
+++ b/include/wasabispar/app/ctl_run.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace wasabispar {
@@ -34,6 +35,11 @@
     mFetch;
   /// The content of a file; empty when it cannot be read.
   std::function<std::optional<std::string>(const std::string& aFile)> mReadFile;
+  /// Calls the function for each line of a file, without its end and cut to
+  /// kMaxLogLineBytes. False when the file cannot be read to its end.
+  std::function<bool(const std::string& aFile,
+                     const std::function<void(std::string_view)>& aOnLine)>
+    mReadLines;
   /// False when the file cannot be written.
   std::function<bool(const std::string& aFile, const std::string& aContent)> mWriteFile;
 };
--- a/src/wasabispar/app/ctl_hooks.cpp
+++ b/src/wasabispar/app/ctl_hooks.cpp
@@ -2,6 +2,8 @@
 /// @brief The hooks of wasabisparctl on the network, the file system and the environment.
 #include "wasabispar/app/ctl_run.hpp"
 
+#include "wasabispar/app/log_line.hpp"
+
 #include <boost/asio/io_context.hpp>
 
 #include <cstdlib>
@@ -26,6 +28,64 @@
   return ended;
 }
 
+/// Joins the pieces of a file to lines of a bounded length.
+class LineSplitter
+{
+public:
+  explicit LineSplitter(const std::function<void(std::string_view)>& aOnLine)
+    : mOnLine(aOnLine)
+  {
+  }
+
+  void Add(std::string_view aPiece)
+  {
+    for (auto end = aPiece.find('\n'); end != std::string_view::npos;
+         end = aPiece.find('\n')) {
+      Append(aPiece.substr(0, end));
+      mOnLine(mLine);
+      mLine.clear();
+      aPiece.remove_prefix(end + 1);
+    }
+    Append(aPiece);
+  }
+
+  /// Passes on the last line if the file does not end with a line end.
+  void Finish() const
+  {
+    if (!mLine.empty()) {
+      mOnLine(mLine);
+    }
+  }
+
+private:
+  const std::function<void(std::string_view)>& mOnLine;
+  /// At most kMaxLogLineBytes.
+  std::string mLine;
+
+  void Append(std::string_view aText)
+  {
+    mLine += aText.substr(0, kMaxLogLineBytes - mLine.size());
+  }
+};
+
+bool
+ReadLines(const std::string& aFile, const std::function<void(std::string_view)>& aOnLine)
+{
+  if (std::filesystem::is_directory(aFile)) {
+    return false;
+  }
+  constexpr std::size_t kPieceBytes = std::size_t{ 64 } * 1024;
+  std::ifstream file(aFile, std::ios::binary);
+  LineSplitter lines(aOnLine);
+  std::vector<char> piece(kPieceBytes);
+  while (file) {
+    file.read(piece.data(), static_cast<std::streamsize>(piece.size()));
+    lines.Add({ piece.data(), static_cast<std::size_t>(file.gcount()) });
+  }
+  lines.Finish();
+  return file.eof();
+}
+
 } // namespace
 
 CtlHooks
@@ -46,6 +106,7 @@
     std::string content((std::istreambuf_iterator<char>(file)), {});
     return file ? std::optional(std::move(content)) : std::nullopt;
   };
+  hooks.mReadLines = ReadLines;
   hooks.mWriteFile = [](const std::string& aFile, const std::string& aContent) {
     std::ofstream file(aFile, std::ios::binary);
     file << aContent << std::flush;
--- a/src/wasabispar/app/ctl_options.cpp
+++ b/src/wasabispar/app/ctl_options.cpp
@@ -57,14 +57,18 @@
       "and\n"
       "their limit (slots), mean latency, connections (open, share of this VM, limit of\n"
       "the upstream) and the index versions that it holds. Each --vm is shown.\n" },
-    { "explain", CtlCommand::Explain, "REQUEST-ID", 1, 1, true,
+    { "explain", CtlCommand::Explain, "REQUEST-ID [--log FILE...]", 1, 1, true,
       "What happened to a request.",
       "Shows the sub-requests of a query, why each was sent, and why shards are "
       "missing.\n"
       "REQUEST-ID is the header Wasabispar-Request-Id of the answer. The VM that "
       "answered\n"
       "keeps the record; with several --vm each one is asked in turn.\n"
-      "Exit code 1: no VM has the record.\n" },
+      "Exit code 1: no VM has the record.\n"
+      "With --log, the logs of wasabispar-edge are read instead, and the cause of the\n"
+      "request's end is named; REQUEST-ID is the caller's id. One file for each VM, or\n"
+      "several that are rotated (edge.log.1, edge.log).\n"
+      "Exit code 1: no file names the request; 2: a file is unusable.\n" },
     { "check", CtlCommand::Check, "FILE...", 1, kAnyNumber, false,
       "Checks profile documents offline.",
       "Checks profile documents with the rules of the VMs. The name of a file without\n"
@@ -108,6 +112,7 @@
   std::string mCommand;
   std::vector<std::string> mArguments;
   std::vector<std::string> mVms;
+  std::vector<std::string> mLogFiles;
   std::string mSvgFile;
   std::int64_t mTimeoutMs = 2000;
 };
@@ -126,6 +131,8 @@
   add("timeout-ms",
       options::value(&aFlags.mTimeoutMs)->value_name("MS")->default_value(2000),
       "Longest wait for each VM, 1 to 600000.");
+  add("log", options::value(&aFlags.mLogFiles)->multitoken()->value_name("FILE..."),
+      "With `explain`, after the request id: logs of wasabispar-edge to read.");
   add("svg", options::value(&aFlags.mSvgFile)->value_name("FILE"),
       "With `burn`: write the plots as a picture.");
   return described;
@@ -193,6 +200,12 @@
   if (!aFlags.mSvgFile.empty() && aSubcommand.mCommand != CtlCommand::Burn) {
     return Usage("--svg", "only with burn");
   }
+  if (!aFlags.mLogFiles.empty() && aSubcommand.mCommand != CtlCommand::Explain) {
+    return Usage("--log", "only with explain");
+  }
+  if (!aFlags.mLogFiles.empty() && !aFlags.mVms.empty()) {
+    return Usage("--log", "not together with --vm");
+  }
   if (!aFlags.mVms.empty() && !aSubcommand.mUsesVm) {
     return Usage("--vm", "not used by " + aSubcommand.mName);
   }
@@ -246,9 +259,10 @@
   }
   request.mCommand = subcommand->mCommand;
   request.mArguments = flags.mArguments;
+  request.mLogFiles = flags.mLogFiles;
   request.mSvgFile = flags.mSvgFile;
   request.mTimeout = std::chrono::milliseconds(flags.mTimeoutMs);
-  if (subcommand->mUsesVm) {
+  if (subcommand->mUsesVm && flags.mLogFiles.empty()) {
     BOOST_LEAF_ASSIGN(request.mVms, ParseVms(flags.mVms, aEnvironment));
   }
   return request;
@@ -287,14 +301,14 @@
   COMPREPLY=()
   case $previous in
     --vm|--timeout-ms) return ;;
-    --svg) COMPREPLY=($(compgen -f -- "$word")); return ;;
+    --svg|--log) COMPREPLY=($(compgen -f -- "$word")); return ;;
   esac
   if [[ $word == -* ]]; then
-    COMPREPLY=($(compgen -W "--help --version --vm --json --timeout-ms --svg" -- "$word"))
+    COMPREPLY=($(compgen -W "--help --version --vm --json --timeout-ms --svg --log" -- "$word"))
   elif [[ $COMP_CWORD -eq 1 ]]; then
     COMPREPLY=($(compgen -W ")" +
          names + R"(" -- "$word"))
-  elif [[ $subcommand == check || $subcommand == diff ]]; then
+  elif [[ $subcommand == check || $subcommand == diff || " ${COMP_WORDS[*]} " == *" --log "* ]]; then
     COMPREPLY=($(compgen -f -- "$word"))
   elif [[ $subcommand == completion ]]; then
     COMPREPLY=($(compgen -W "bash" -- "$word"))
--- a/src/wasabispar/app/ctl_run.cpp
+++ b/src/wasabispar/app/ctl_run.cpp
@@ -6,6 +6,7 @@
 #include "wasabispar/app/ctl_documents.hpp"
 #include "wasabispar/app/ctl_explain.hpp"
 #include "wasabispar/app/ctl_json.hpp"
+#include "wasabispar/app/ctl_log_explain.hpp"
 #include "wasabispar/app/ctl_options.hpp"
 #include "wasabispar/app/ctl_profiles.hpp"
 #include "wasabispar/app/ctl_status.hpp"
@@ -198,6 +199,10 @@
   void ShowExplain()
   {
     const auto& id = mRequest.mArguments.front();
+    if (!mRequest.mLogFiles.empty()) {
+      ShowExplainFromLogs(id);
+      return;
+    }
     if (!RequestId::Parse(id)) {
       Fault(CtlExit::Usage, id + ": not a request id, which looks like 5f-1");
       return;
@@ -208,6 +213,41 @@
     }
   }
 
+  void ShowExplainFromLogs(const std::string& aId)
+  {
+    LogCollector collector(aId);
+    std::string vm;
+    for (const auto& file : OrderLogFiles(mRequest.mLogFiles)) {
+      if (file.mVmKey != vm) {
+        collector.BeginVm(file.mVmName);
+        vm = file.mVmKey;
+      }
+      ReadLog(file.mName, collector);
+    }
+    const auto findings = collector.Finish();
+    if (findings.mRequests.empty()) {
+      Fault(CtlExit::NotFound, NotFoundText(aId, findings));
+    }
+    Show(RenderLogExplanations(aId, findings, mRequest.mAsJson));
+  }
+
+  /// A file without any event is not a log in the format that is read; an empty one is a
+  /// log of a VM that has logged nothing yet.
+  void ReadLog(const std::string& aFile, LogCollector& aCollector)
+  {
+    std::size_t lines = 0;
+    std::size_t events = 0;
+    const bool isRead = mHooks.mReadLines(aFile, [&](std::string_view aLine) {
+      ++lines;
+      events += aCollector.OnLine(aLine) ? 1 : 0;
+    });
+    if (!isRead) {
+      Fault(CtlExit::Usage, aFile + ": cannot be read");
+    } else if (lines > 0 && events == 0) {
+      Fault(CtlExit::Usage, aFile + ": has no event in the keyvalue format");
+    }
+  }
+
   void ShowChecks()
   {
     std::vector<DocumentCheck> checks;
