Log the service of a part with its steps

Cause: the steps of a request that was sent nowhere did not tell which service had no upstream, and a route may divide its requests between several. Change: request-step has the field service; ActiveRequest keeps the names that it was given instead of discarding them.

--- a/include/wasabispar/gateway/request_trace.hpp
+++ b/include/wasabispar/gateway/request_trace.hpp
@@ -4,8 +4,10 @@
 
 #include "wasabispar/base/clock.hpp"
 #include "wasabispar/base/ids.hpp"
+#include "wasabispar/routing/route.hpp"
 
 #include <cstdint>
+#include <span>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -102,8 +104,9 @@
   std::string_view mOutcome;
   /// HTTP status of the response; 0 when the caller disconnected.
   unsigned mStatus = 0;
-  /// Number of parts of the request, and how many of them were answered.
-  std::size_t mParts = 0;
+  /// The service of each part of the request.
+  std::span<const ServiceName> mServices;
+  /// Number of parts that were answered.
   std::size_t mAnswered = 0;
   /// Latency objective of the route.
   Duration mObjective{};
--- a/src/wasabispar/gateway/active_request.cpp
+++ b/src/wasabispar/gateway/active_request.cpp
@@ -83,16 +83,17 @@
   , mParts(aServices.size())
   , mFanOutState(MakeFanOutState(mRequest, aRoute, aServices.size(),
                                  aGateway.mOptions.mMaxCallerMargin, aNow))
+  , mServices(std::move(aServices))
 {
   const auto fingerprint = FingerprintOf(mRequest);
   ShareBody(mRequest.mHttpRequest);
   const auto bodyBytes = mRequest.mHttpRequest.Body().size();
-  for (std::size_t i = 0; i < aServices.size(); ++i) {
-    mParts[i].mServicePool = &mGateway.PoolOf(aServices[i]);
+  for (std::size_t i = 0; i < mServices.size(); ++i) {
+    mParts[i].mServicePool = &mGateway.PoolOf(mServices[i]);
     mParts[i].mScope.mRegions = aRoute.mPermittedRegions;
     mParts[i].mScope.mBodyBytes = bodyBytes;
     mParts[i].mIdentity = { fingerprint,
-                            ServiceFingerprint(HashText(aServices[i].Text())) };
+                            ServiceFingerprint(HashText(mServices[i].Text())) };
   }
 }
 
--- a/src/wasabispar/gateway/active_request.hpp
+++ b/src/wasabispar/gateway/active_request.hpp
@@ -180,6 +180,8 @@
   RequestTrace mTrace;
   std::vector<Part> mParts;
   FanOutState mFanOutState;
+  /// The service of each part.
+  std::vector<ServiceName> mServices;
   /// Start() is sending the parts; no decision is made until all were sent.
   bool mIsStarting = true;
   bool mIsFinished = false;
--- a/src/wasabispar/gateway/active_request_end.cpp
+++ b/src/wasabispar/gateway/active_request_end.cpp
@@ -148,7 +148,7 @@
   mGateway.mTraceLog.Write(mTrace,
                            { mRequest.mId.Text(), mRoute.mName.Text(),
                              mRouteTable->Version().Value(), aOutcome, aResponse.mStatus,
-                             mParts.size(), mFanOutState.Answered(), mRoute.mObjective },
+                             mServices, mFanOutState.Answered(), mRoute.mObjective },
                            now);
   if (mRespond) {
     std::exchange(mRespond, nullptr)(std::move(aResponse));
--- a/src/wasabispar/gateway/request_trace.cpp
+++ b/src/wasabispar/gateway/request_trace.cpp
@@ -71,8 +71,9 @@
 TraceLog::Write(const RequestTrace& aTrace, const TraceEnd& aEnd, TimePoint aNow)
 {
   const auto age = aNow - aTrace.Start();
-  const bool isOnTimeAndComplete =
-    aEnd.mStatus < 300 && aEnd.mAnswered == aEnd.mParts && age <= aEnd.mObjective;
+  const bool isOnTimeAndComplete = aEnd.mStatus < 300 &&
+                                   aEnd.mAnswered == aEnd.mServices.size() &&
+                                   age <= aEnd.mObjective;
   const auto lines =
     isOnTimeAndComplete ? 1.0 : 1.0 + static_cast<double>(aTrace.Entries().size());
   if (!TakeLines(lines, aNow)) {
@@ -85,6 +86,7 @@
                { { "request", aEnd.mRequestId },
                  { "step", ToText(entry.mStep) },
                  { "part", std::uint64_t{ entry.mPart } },
+                 { "service", aEnd.mServices[entry.mPart].Text() },
                  { "upstream", entry.mUpstream.Text() },
                  { "at_us", ToMicroseconds(entry.mAge) },
                  { "figure", entry.mFigure } });
@@ -96,7 +98,7 @@
              { "config_version", aEnd.mTableVersion },
              { "outcome", aEnd.mOutcome },
              { "status", std::uint64_t{ aEnd.mStatus } },
-             { "parts", aEnd.mParts },
+             { "parts", aEnd.mServices.size() },
              { "answered", aEnd.mAnswered },
              { "steps_omitted", aTrace.Omitted() },
              { "took_us", ToMicroseconds(age) } });
