wasabisparctl: take the service of a part from its own lines

Cause: the service was concluded from other requests of the route, which is a guess where a route divides its requests between services. Change: the field service of request-step names it; in lines of older versions it follows from an upstream to which the part was sent, or is unknown.

--- a/include/wasabispar/app/log_cause.hpp
+++ b/include/wasabispar/app/log_cause.hpp
@@ -88,6 +88,6 @@
 /// @brief Explains @p aRequest. It concludes only from lines of the logs; what they do
 /// not show is listed in mUnknown.
 RequestExplanation
-ExplainRequest(const LoggedRequest& aRequest, const RouteServices& aServices);
+ExplainRequest(const LoggedRequest& aRequest);
 
 } // namespace wasabispar
--- a/include/wasabispar/app/log_collector.hpp
+++ b/include/wasabispar/app/log_collector.hpp
@@ -13,7 +13,7 @@
 namespace wasabispar {
 
 /// @brief Reads each log once, line by line. Its memory is bounded by the upstreams of
-/// one VM and the routes, whatever the length of the logs.
+/// one VM, whatever the length of the logs.
 class LogCollector
 {
 public:
--- a/include/wasabispar/app/log_facts.hpp
+++ b/include/wasabispar/app/log_facts.hpp
@@ -6,7 +6,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -80,6 +79,8 @@
 {
   std::string mStep;
   std::size_t mPart = 0;
+  /// Empty in the lines of older versions.
+  std::string mService;
   std::string mUpstream;
   std::uint64_t mAtUs = 0;
   std::uint64_t mFigure = 0;
@@ -116,28 +117,11 @@
   std::optional<std::int64_t> TimeAt(std::uint64_t aAtUs) const;
 };
 
-/// @brief Which service answers which part of a route, concluded from the steps of all
-/// requests of the route.
-class RouteServices
-{
-public:
-  void Add(const std::string& aRoute, const std::string& aConfigVersion,
-           std::size_t aPart, const std::string& aService);
-  /// @brief Empty if the logs show no service or different ones.
-  std::optional<std::string> Find(const std::string& aRoute,
-                                  const std::string& aConfigVersion,
-                                  std::size_t aPart) const;
-
-private:
-  std::map<std::string, std::set<std::string>> mServices;
-};
-
 /// @brief What the logs tell about one request id.
 struct LogFindings
 {
   /// One for each VM and time at which the id was used.
   std::vector<LoggedRequest> mRequests;
-  RouteServices mServices;
   /// Requests that each VM rejected for lack of memory, which are not logged by id.
   std::map<std::string, std::uint64_t> mRejectedForMemory;
 };
--- a/include/wasabispar/app/log_part_cause.hpp
+++ b/include/wasabispar/app/log_part_cause.hpp
@@ -29,8 +29,8 @@
 /// @brief Why a part without an answer has none. Adds to @p aUnknown what the logs do not
 /// show.
 CauseOfEnd
-ExplainMissingPart(const LoggedRequest& aRequest, const RouteServices& aServices,
-                   std::size_t aPart, std::vector<std::string>& aUnknown);
+ExplainMissingPart(const LoggedRequest& aRequest, std::size_t aPart,
+                   std::vector<std::string>& aUnknown);
 
 /// @brief What took most of the time of an answered request: its last part's upstream or
 /// wait, or the VM.
--- a/src/wasabispar/app/ctl_log_explain.cpp
+++ b/src/wasabispar/app/ctl_log_explain.cpp
@@ -199,6 +199,7 @@
     steps.push_back(json::object{ { "at_us", step.mAtUs },
                                   { "step", step.mStep },
                                   { "part", step.mPart },
+                                  { "service", step.mService },
                                   { "upstream", step.mUpstream },
                                   { "figure", step.mFigure } });
   }
@@ -249,7 +250,7 @@
 {
   CtlReport report;
   for (const auto& request : aFindings.mRequests) {
-    const auto explanation = ExplainRequest(request, aFindings.mServices);
+    const auto explanation = ExplainRequest(request);
     if (aAsJson) {
       report.mText +=
         json::serialize(ExplanationJson(aRequestId, request, explanation)) + "\n";
--- a/src/wasabispar/app/ctl_log_explain_test.cpp
+++ b/src/wasabispar/app/ctl_log_explain_test.cpp
@@ -78,7 +78,7 @@
          int aAtUs, int aFigure = 0, int aPart = 0)
 {
   return "event=request-step request=" + aId + " step=" + aStep +
-         " part=" + std::to_string(aPart) + " upstream=" + aUpstream +
+         " part=" + std::to_string(aPart) + " service=s upstream=" + aUpstream +
          " at_us=" + std::to_string(aAtUs) + " figure=" + std::to_string(aFigure);
 }
 
@@ -100,16 +100,13 @@
          " service=s data_centre=d1 address=10.0.0.1:1";
 }
 
-/// A VM with upstreams a and b of service s, whose route r another request used.
+/// A VM with upstreams a and b of service s.
 std::string
 Started()
 {
   return At(0, "event=start vm=vm1 version=1 callers=x") + At(1, Changed("a", "added")) +
          At(1, Changed("b", "added")) +
-         At(2, "event=config-in-force config_version=3 routes=1") +
-         At(20, StepLine("other", "sent", "a", 100)) +
-         At(20, StepLine("other", "lost", "a", 200)) +
-         At(20, EndLine("other", "lost", 502, 300));
+         At(2, "event=config-in-force config_version=3 routes=1");
 }
 
 std::string
@@ -261,11 +258,12 @@
   CHECK(Has(logs.Explain("x").mOutput, "unknown: the file has lines of several VMs"));
   logs.mFiles["vm1.log"] = Started() + At(50, StepLine("x", "sent", "a", 100));
   CHECK(Has(logs.Explain("x").mOutput, "cause: unknown, unknown: the logs do not show"));
-  // Another version of the route may name another service.
-  auto other = Rejected(100);
-  other.replace(other.find("config_version=3"), 16, "config_version=4");
-  logs.mFiles["vm1.log"] = Started() + removed + other;
+  // The lines of older versions do not name the service.
+  auto old = Rejected(100);
+  old.erase(old.find("service=s "), 10);
+  logs.mFiles["vm1.log"] = Started() + removed + old;
   CHECK(Has(logs.Explain("x").mOutput, "unknown: the service of part 0 of route r"));
+  CHECK(Has(logs.Explain("x").mOutput, "cause: rejected, unknown"));
 }
 
 TEST_CASE("lost, timeout and late name the upstream or the VM itself")
--- a/src/wasabispar/app/log_cause.cpp
+++ b/src/wasabispar/app/log_cause.cpp
@@ -117,15 +117,13 @@
 
 /// Explains the parts without an answer and takes the most frequent cause.
 void
-ExplainParts(const LoggedRequest& aRequest, const RouteServices& aServices,
-             RequestExplanation& aExplanation)
+ExplainParts(const LoggedRequest& aRequest, RequestExplanation& aExplanation)
 {
   const auto& end = *aRequest.mEnd;
   auto& missing = aExplanation.mParts;
   for (const auto part : PartsWithSteps(aRequest)) {
     if (!IsAnswered(aRequest, part)) {
-      missing.push_back(
-        ExplainMissingPart(aRequest, aServices, part, aExplanation.mUnknown));
+      missing.push_back(ExplainMissingPart(aRequest, part, aExplanation.mUnknown));
     }
   }
   const auto expected = end.mParts - std::min(end.mParts, end.mAnswered);
@@ -288,7 +286,7 @@
 }
 
 RequestExplanation
-ExplainRequest(const LoggedRequest& aRequest, const RouteServices& aServices)
+ExplainRequest(const LoggedRequest& aRequest)
 {
   RequestExplanation explanation;
   explanation.mFate = FateOf(aRequest);
@@ -315,7 +313,7 @@
       cause = ExplainLate(aRequest);
       break;
     case RequestFate::CallerLeft:
-      ExplainParts(aRequest, aServices, explanation);
+      ExplainParts(aRequest, explanation);
       cause = { RequestCause::Caller,
                 {},
                 {},
@@ -327,7 +325,7 @@
     case RequestFate::Timeout:
     case RequestFate::Lost:
     case RequestFate::UpstreamFailed:
-      ExplainParts(aRequest, aServices, explanation);
+      ExplainParts(aRequest, explanation);
       break;
   }
   return explanation;
--- a/src/wasabispar/app/log_collector.cpp
+++ b/src/wasabispar/app/log_collector.cpp
@@ -115,7 +115,8 @@
   const auto part = aLine.Number("part");
   if (part && mSteps.size() < kMaxSteps) {
     mSteps.push_back({ TextOf(aLine, "step"), static_cast<std::size_t>(*part),
-                       TextOf(aLine, "upstream"), aLine.Number("at_us").value_or(0),
+                       TextOf(aLine, "service"), TextOf(aLine, "upstream"),
+                       aLine.Number("at_us").value_or(0),
                        aLine.Number("figure").value_or(0) });
   }
 }
@@ -137,13 +138,6 @@
   end.mStepsOmitted = aLine.Number("steps_omitted").value_or(0);
   end.mTookUs = aLine.Number("took_us").value_or(0);
   end.mTimeMs = aLine.TimeMs();
-  for (const auto& step : mSteps) {
-    const auto upstream = mVm.mUpstreams.find(step.mUpstream);
-    if (upstream != mVm.mUpstreams.end() && !upstream->second.mService.empty()) {
-      mFindings.mServices.Add(end.mRoute, end.mConfigVersion, step.mPart,
-                              upstream->second.mService);
-    }
-  }
   if (request == mRequestId) {
     AddRequest(std::move(end));
   }
--- a/src/wasabispar/app/log_facts.cpp
+++ b/src/wasabispar/app/log_facts.cpp
@@ -1,5 +1,5 @@
 /// @file
-/// @brief FactHistory, LoggedRequest and RouteServices.
+/// @brief FactHistory and LoggedRequest.
 #include "wasabispar/app/log_facts.hpp"
 
 #include <algorithm>
@@ -11,15 +11,6 @@
 /// Lines of one event that are kept for one subject. The state at the time of a decision
 /// is looked up when the request ends, after which a few lines may have followed.
 constexpr std::size_t kKeptPerEvent = 4;
-/// Parts of routes whose services are kept.
-constexpr std::size_t kMaxRouteParts = 100000;
-
-std::string
-PartKey(const std::string& aRoute, const std::string& aConfigVersion, std::size_t aPart)
-{
-  return aRoute + '\n' + aConfigVersion + '\n' + std::to_string(aPart);
-}
-
 } // namespace
 
 void
@@ -69,29 +60,4 @@
   return *mEnd->mTimeMs - beforeEnd / kUsPerMs;
 }
 
-void
-RouteServices::Add(const std::string& aRoute, const std::string& aConfigVersion,
-                   std::size_t aPart, const std::string& aService)
-{
-  const auto key = PartKey(aRoute, aConfigVersion, aPart);
-  if (mServices.size() < kMaxRouteParts || mServices.contains(key)) {
-    auto& services = mServices[key];
-    // Two different services already mean that the service is not known.
-    if (services.size() < 2) {
-      services.insert(aService);
-    }
-  }
-}
-
-std::optional<std::string>
-RouteServices::Find(const std::string& aRoute, const std::string& aConfigVersion,
-                    std::size_t aPart) const
-{
-  const auto found = mServices.find(PartKey(aRoute, aConfigVersion, aPart));
-  if (found == mServices.end() || found->second.size() != 1) {
-    return std::nullopt;
-  }
-  return *found->second.begin();
-}
-
 } // namespace wasabispar
--- a/src/wasabispar/app/log_part_cause.cpp
+++ b/src/wasabispar/app/log_part_cause.cpp
@@ -98,22 +98,21 @@
   return text;
 }
 
-/// The service of a part: from an upstream to which it was sent, else from other requests
-/// of the route.
+/// The service of a part: as its steps name it, else that of an upstream to which it was
+/// sent. A route may name several services, so other requests of it tell nothing.
 std::optional<std::string>
-ServiceOf(const LoggedRequest& aRequest, const RouteServices& aServices,
-          std::size_t aPart)
+ServiceOf(const LoggedRequest& aRequest, std::size_t aPart)
 {
   for (const auto* step : StepsOfPart(aRequest, aPart)) {
+    if (!step->mService.empty()) {
+      return step->mService;
+    }
     const auto found = aRequest.mVm.mUpstreams.find(step->mUpstream);
     if (found != aRequest.mVm.mUpstreams.end() && !found->second.mService.empty()) {
       return found->second.mService;
     }
   }
-  if (!aRequest.mEnd) {
-    return std::nullopt;
-  }
-  return aServices.Find(aRequest.mEnd->mRoute, aRequest.mEnd->mConfigVersion, aPart);
+  return std::nullopt;
 }
 
 void
@@ -187,7 +186,7 @@
   {
     const auto route = mRequest.mEnd ? mRequest.mEnd->mRoute : "-";
     return Unknown("the service of part " + std::to_string(mPart) + " of route " + route +
-                   ": no line of another request names an upstream of it");
+                   ": the lines of older versions do not name it");
   }
 
   CauseOfEnd WithoutUpstreams(const std::string& aService) const
@@ -387,8 +386,8 @@
 }
 
 CauseOfEnd
-ExplainMissingPart(const LoggedRequest& aRequest, const RouteServices& aServices,
-                   std::size_t aPart, std::vector<std::string>& aUnknown)
+ExplainMissingPart(const LoggedRequest& aRequest, std::size_t aPart,
+                   std::vector<std::string>& aUnknown)
 {
   const auto steps = StepsOfPart(aRequest, aPart);
   if (const auto* blocked = LastOf(steps, "blocked")) {
@@ -417,7 +416,7 @@
   if (givenUp) {
     const auto wait = queued ? 0 : givenUp->mFigure;
     return Unplaced(aRequest, aUnknown, aPart, givenUp->mAtUs, wait)
-      .Explain(ServiceOf(aRequest, aServices, aPart));
+      .Explain(ServiceOf(aRequest, aPart));
   }
   if (LastOf(steps, "held")) {
     return { RequestCause::Quarantined,
@@ -426,7 +425,7 @@
              "held back, because upstreams crashed with this request" };
   }
   if (queued) {
-    return FromQueue(aRequest, *queued, ServiceOf(aRequest, aServices, aPart));
+    return FromQueue(aRequest, *queued, ServiceOf(aRequest, aPart));
   }
   return { RequestCause::Unknown, aPart, {}, "its last steps are not in the logs" };
 }
