--- a/src/wasabispar/app/ctl_log_explain_test.cpp
+++ b/src/wasabispar/app/ctl_log_explain_test.cpp
@@ -324,6 +324,8 @@
   CHECK(report.at("vm").as_string() == "vm1");
   CHECK(report.at("fate").as_string() == "rejected");
   CHECK(report.at("steps").as_array().size() == 1);
+  logs.mFiles["b.log"] = Started() + Rejected(5002);
+  CHECK(Has(logs.Explain("x").mOutput, "configuration 3 in force, read 5.0 s before"));
   CHECK(logs.Explain("absent").mExit == CtlExit::NotFound);
   CHECK(logs.Explain("x", { "missing.log" }).mExit == CtlExit::Usage);
   CHECK(Has(logs.Explain("x", { "missing.log" }).mOutput, "cause: rejected"));
--- a/src/wasabispar/app/log_cause.cpp
+++ b/src/wasabispar/app/log_cause.cpp
@@ -2,6 +2,7 @@
 /// @brief ExplainRequest().
 #include "wasabispar/app/log_cause.hpp"
 
+#include "wasabispar/app/ctl_json.hpp"
 #include "wasabispar/app/log_part_cause.hpp"
 #include "wasabispar/app/log_service_state.hpp"
 
@@ -159,8 +160,9 @@
     return "earlier";
   }
   const auto ms = *aAtMs - *aFact.mTimeMs;
-  return ms < kMsPerSecond ? std::to_string(ms) + " ms before"
-                           : MillisecondsText(static_cast<std::uint64_t>(ms)) + " before";
+  return ms < kMsPerSecond
+           ? std::to_string(ms) + " ms before"
+           : FixedText(static_cast<double>(ms) / kMsPerSecond, 1) + " s before";
 }
 
 void
