wasabisparctl: list the worst requests of log files with their causes

Cause: an engineer who has no request id needs to find the failures first. A request is explained while its line request-end is read, when the facts of its VM are those of that time, so that no state of a VM is copied for each request.

--- a/include/wasabispar/app/ctl_log_explain.hpp
+++ b/include/wasabispar/app/ctl_log_explain.hpp
@@ -3,8 +3,10 @@
 #pragma once
 
 #include "wasabispar/app/ctl_report.hpp"
-#include "wasabispar/app/log_collector.hpp"
+#include "wasabispar/app/log_cause.hpp"
 
+#include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -25,15 +27,18 @@
 std::vector<LogFile>
 OrderLogFiles(const std::vector<std::string>& aFiles);
 
-/// @brief Why the request is not explained, with what the logs tell about requests that
-/// are not logged by id.
+/// @brief Why the request is not explained, with the requests that each VM rejected for
+/// lack of memory, which are not logged by id.
 std::string
-NotFoundText(const std::string& aRequestId, const LogFindings& aFindings);
+NotFoundText(const std::string& aRequestId,
+             const std::map<std::string, std::uint64_t>& aRejectedForMemory);
 
-/// @brief The steps and the cause of each request with the id, in text, or one JSON
-/// object a line.
+/// @brief The steps and the cause of each request, in text, or one JSON object a line.
 CtlReport
-RenderLogExplanations(const std::string& aRequestId, const LogFindings& aFindings,
-                      bool aAsJson);
+RenderLogExplanations(const std::vector<RequestExplanation>& aExplanations, bool aAsJson);
+
+/// @brief One line for each request.
+CtlReport
+RenderWorstRequests(const std::vector<RequestExplanation>& aExplanations);
 
 } // namespace wasabispar
--- a/include/wasabispar/app/ctl_options.hpp
+++ b/include/wasabispar/app/ctl_options.hpp
@@ -37,6 +37,8 @@
   std::vector<Endpoint> mVms;
   /// Log files for Explain; empty: ask the VMs.
   std::vector<std::string> mLogFiles;
+  /// Number of requests to list from the logs; 0: explain the one that is named.
+  std::size_t mWorstCount = 0;
   bool mAsJson = false;
   /// Empty: no picture.
   std::string mSvgFile;
--- a/include/wasabispar/app/log_cause.hpp
+++ b/include/wasabispar/app/log_cause.hpp
@@ -75,6 +75,9 @@
 /// @brief The explanation of one request.
 struct RequestExplanation
 {
+  /// The request without its VM's facts, which are gone.
+  LoggedRequest mRequest;
+  std::string mVmName;
   RequestFate mFate = RequestFate::Unknown;
   CauseOfEnd mCause;
   /// Each part without an answer.
@@ -85,6 +88,10 @@
   std::vector<std::string> mUnknown;
 };
 
+/// @brief How a request ended, by its lines.
+RequestFate
+FateOf(const LoggedRequest& aRequest);
+
 /// @brief Explains @p aRequest. It concludes only from lines of the logs; what they do
 /// not show is listed in mUnknown.
 RequestExplanation
--- a/include/wasabispar/app/log_collector.hpp
+++ b/include/wasabispar/app/log_collector.hpp
@@ -5,6 +5,8 @@
 #include "wasabispar/app/log_facts.hpp"
 #include "wasabispar/app/log_line.hpp"
 
+#include <functional>
+#include <map>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -17,8 +19,13 @@
 class LogCollector
 {
 public:
-  explicit LogCollector(std::string aRequestId)
+  /// @brief Called at the end of a request, while its VM's facts are those of that time.
+  using OnRequestFn = std::function<void(const LoggedRequest&)>;
+
+  /// @param aRequestId the id of the requests that are reported; empty: all requests.
+  LogCollector(std::string aRequestId, OnRequestFn aOnRequest)
     : mRequestId(std::move(aRequestId))
+    , mOnRequest(std::move(aOnRequest))
   {
   }
 
@@ -27,8 +34,14 @@
   /// @brief Takes one line of the current VM.
   /// @return whether the line has an event.
   bool OnLine(std::string_view aLine);
-  /// @brief Ends the last log and returns what was found.
-  LogFindings Finish();
+  /// @brief Ends the last log.
+  void Finish() { FlushSteps(); }
+  /// @brief Requests that each VM rejected for lack of memory, which are not logged by
+  /// id.
+  const std::map<std::string, std::uint64_t>& RejectedForMemory() const
+  {
+    return mRejectedForMemory;
+  }
 
 private:
   void OnStart(const LogLine& aLine);
@@ -38,12 +51,13 @@
   void OnUnrouted(const LogLine& aLine);
   void OnUpstream(const LogLine& aLine);
   void OnVmState(const LogLine& aLine);
-  void AddRequest(std::optional<LoggedEnd> aEnd);
+  void Report(const std::string& aId, std::optional<LoggedEnd> aEnd);
   void FlushSteps();
   LogFact FactOf(const LogLine& aLine) const;
 
   std::string mRequestId;
-  LogFindings mFindings;
+  OnRequestFn mOnRequest;
+  std::map<std::string, std::uint64_t> mRejectedForMemory;
   VmFacts mVm;
   std::uint64_t mLineCount = 0;
   /// The steps of the request whose lines are being read; the daemon writes the lines of
--- a/include/wasabispar/app/log_facts.hpp
+++ b/include/wasabispar/app/log_facts.hpp
@@ -106,24 +106,17 @@
 /// @brief A request as one VM logged it.
 struct LoggedRequest
 {
+  std::string mId;
   std::vector<LoggedStep> mSteps;
   /// Empty if the line is missing.
   std::optional<LoggedEnd> mEnd;
-  /// What the VM's log tells up to the end of the request.
-  VmFacts mVm;
+  /// What the VM's log tells up to the end of the request; valid until the next line is
+  /// read.
+  const VmFacts* mVm = nullptr;
 
   /// @brief The log's time at @p aAtUs after the arrival; empty if the lines have no
   /// time.
   std::optional<std::int64_t> TimeAt(std::uint64_t aAtUs) const;
 };
 
-/// @brief What the logs tell about one request id.
-struct LogFindings
-{
-  /// One for each VM and time at which the id was used.
-  std::vector<LoggedRequest> mRequests;
-  /// Requests that each VM rejected for lack of memory, which are not logged by id.
-  std::map<std::string, std::uint64_t> mRejectedForMemory;
-};
-
 } // namespace wasabispar
--- a/src/wasabispar/app/ctl_log_explain.cpp
+++ b/src/wasabispar/app/ctl_log_explain.cpp
@@ -80,13 +80,14 @@
 }
 
 std::string
-HeadText(const std::string& aRequestId, const LoggedRequest& aRequest)
+HeadText(const RequestExplanation& aExplanation)
 {
-  auto text = "request " + aRequestId + " at VM " + aRequest.mVm.mName;
-  if (!aRequest.mEnd) {
+  const auto& request = aExplanation.mRequest;
+  auto text = "request " + request.mId + " at VM " + aExplanation.mVmName;
+  if (!request.mEnd) {
     return text + "\n";
   }
-  const auto& end = *aRequest.mEnd;
+  const auto& end = *request.mEnd;
   text += std::string(end.mIsRouted ? ", route " : ", host ") + end.mRoute +
           ", configuration " + end.mConfigVersion + "\noutcome " + end.mOutcome;
   if (end.mIsRouted) {
@@ -143,10 +144,9 @@
 }
 
 std::string
-ExplanationText(const std::string& aRequestId, const LoggedRequest& aRequest,
-                const RequestExplanation& aExplanation)
+ExplanationText(const RequestExplanation& aExplanation)
 {
-  auto text = HeadText(aRequestId, aRequest) + StepsText(aRequest) +
+  auto text = HeadText(aExplanation) + StepsText(aExplanation.mRequest) +
               CauseText(aExplanation) + PartsText(aExplanation);
   for (const auto& note : aExplanation.mNotes) {
     text += "known then: " + note + "\n";
@@ -181,11 +181,11 @@
 }
 
 json::object
-ExplanationJson(const std::string& aRequestId, const LoggedRequest& aRequest,
-                const RequestExplanation& aExplanation)
+ExplanationJson(const RequestExplanation& aExplanation)
 {
-  json::object object{ { "request", aRequestId }, { "vm", aRequest.mVm.mName } };
-  if (const auto& end = aRequest.mEnd) {
+  const auto& request = aExplanation.mRequest;
+  json::object object{ { "request", request.mId }, { "vm", aExplanation.mVmName } };
+  if (const auto& end = request.mEnd) {
     object[end->mIsRouted ? "route" : "host"] = end->mRoute;
     object["config_version"] = end->mConfigVersion;
     object["outcome"] = end->mOutcome;
@@ -195,7 +195,7 @@
     object["took_us"] = end->mTookUs;
   }
   json::array steps;
-  for (const auto& step : aRequest.mSteps) {
+  for (const auto& step : request.mSteps) {
     steps.push_back(json::object{ { "at_us", step.mAtUs },
                                   { "step", step.mStep },
                                   { "part", step.mPart },
@@ -233,11 +233,12 @@
 }
 
 std::string
-NotFoundText(const std::string& aRequestId, const LogFindings& aFindings)
+NotFoundText(const std::string& aRequestId,
+             const std::map<std::string, std::uint64_t>& aRejectedForMemory)
 {
   auto text = aRequestId + ": no line names this request; lines above the rate limit are "
                            "left out (wasabispar_gateway_trace_lines_dropped_total)";
-  for (const auto& [vm, rejected] : aFindings.mRejectedForMemory) {
+  for (const auto& [vm, rejected] : aRejectedForMemory) {
     text += "; VM " + vm + " rejected " + std::to_string(rejected) +
             " requests for memory (memory-full), which are not logged by id";
   }
@@ -245,21 +246,35 @@
 }
 
 CtlReport
-RenderLogExplanations(const std::string& aRequestId, const LogFindings& aFindings,
-                      bool aAsJson)
+RenderLogExplanations(const std::vector<RequestExplanation>& aExplanations, bool aAsJson)
 {
   CtlReport report;
-  for (const auto& request : aFindings.mRequests) {
-    const auto explanation = ExplainRequest(request);
+  for (const auto& explanation : aExplanations) {
     if (aAsJson) {
-      report.mText +=
-        json::serialize(ExplanationJson(aRequestId, request, explanation)) + "\n";
+      report.mText += json::serialize(ExplanationJson(explanation)) + "\n";
     } else {
-      report.mText += (report.mText.empty() ? "" : "\n") +
-                      ExplanationText(aRequestId, request, explanation);
+      report.mText += (report.mText.empty() ? "" : "\n") + ExplanationText(explanation);
     }
   }
   return report;
 }
 
+CtlReport
+RenderWorstRequests(const std::vector<RequestExplanation>& aExplanations)
+{
+  if (aExplanations.empty()) {
+    return { "no request failed or was late\n", false };
+  }
+  CtlTable table({ "request", "vm", "fate", "took", "cause" });
+  for (const auto& explanation : aExplanations) {
+    const auto& request = explanation.mRequest;
+    const auto took = request.mEnd ? MillisecondsText(request.mEnd->mTookUs) : "-";
+    table.Add({ request.mId, explanation.mVmName, std::string(ToText(explanation.mFate)),
+                took,
+                std::string(ToText(explanation.mCause.mCause)) + ": " +
+                  explanation.mCause.mText });
+  }
+  return { table.Text(), false };
+}
+
 } // namespace wasabispar
--- a/src/wasabispar/app/ctl_log_explain_test.cpp
+++ b/src/wasabispar/app/ctl_log_explain_test.cpp
@@ -25,11 +25,10 @@
 {
   std::map<std::string, std::string> mFiles;
 
-  CtlResult Explain(const std::string& aId, const std::vector<std::string>& aMore = {})
+  decltype(CtlHooks::mReadLines) Reader() const
   {
-    CtlHooks hooks;
-    hooks.mReadLines = [this](const std::string& aFile,
-                              const std::function<void(std::string_view)>& aOnLine) {
+    return [this](const std::string& aFile,
+                  const std::function<void(std::string_view)>& aOnLine) {
       const auto found = mFiles.find(aFile);
       if (found == mFiles.end()) {
         return false;
@@ -40,6 +39,12 @@
       }
       return true;
     };
+  }
+
+  CtlResult Explain(const std::string& aId, const std::vector<std::string>& aMore = {})
+  {
+    CtlHooks hooks;
+    hooks.mReadLines = Reader();
     std::vector<std::string> arguments{ "explain", aId, "--log" };
     for (const auto& [name, content] : mFiles) {
       arguments.push_back(name);
@@ -338,6 +343,44 @@
   CHECK(logs.Explain("x").mExit == CtlExit::Usage);
 }
 
+TEST_CASE("the worst requests are listed with the cause of each")
+{
+  // Guards against a list that hides a lost request behind many late ones, or that
+  // explains a request by what its VM knew later.
+  auto log = Started();
+  for (int i = 0; i < 20; ++i) {
+    const auto id = "late-" + std::to_string(i);
+    log += At(400, StepLine(id, "sent", "a", 100)) +
+           At(400, StepLine(id, "answered", "a", 90000 + i, 89900)) +
+           At(400, EndLine(id, "answered", 200, 90100 + i, 1, 1)) +
+           At(400, EndLine("fine", "answered", 200, 900, 1, 1));
+  }
+  log += At(401, Changed("a", "draining")) + At(401, Changed("b", "draining")) +
+         Rejected(410) + At(420, Changed("a", "added")) +
+         At(430, StepLine("gone", "lost", "a", 200, 100)) +
+         At(430, EndLine("gone", "lost", 502, 300));
+  Logs logs{ { { "vm1.log", log } } };
+  const auto run = [&logs](std::vector<std::string> aArguments) {
+    CtlHooks hooks;
+    hooks.mReadLines = logs.Reader();
+    aArguments.insert(aArguments.begin(), { "explain", "--log", "vm1.log", "--worst" });
+    return RunCtl(aArguments, hooks);
+  };
+  const auto result = run({ "3" });
+  CHECK(result.mExit == CtlExit::Fine);
+  std::istringstream lines(result.mOutput);
+  std::string all;
+  for (std::string line; std::getline(lines, line);) {
+    all += line.substr(0, line.find(' ')) + " ";
+  }
+  CHECK(all == "request gone x late-19 ");
+  CHECK(Has(result.mOutput, "draining: no upstream could be asked"));
+  CHECK(run({ "0" }).mExit == CtlExit::Usage);
+  CHECK(run({ "1001" }).mExit == CtlExit::Usage);
+  CHECK(run({ "3", "--svg", "x" }).mExit == CtlExit::Usage);
+  CHECK(RunCtl({ "explain", "x", "--worst", "3" }, {}).mExit == CtlExit::Usage);
+}
+
 TEST_CASE("rotated files of a VM are read as one log, oldest first")
 {
   // Guards against a state of a VM that is lost between two files, or read backwards.
--- a/src/wasabispar/app/ctl_options.cpp
+++ b/src/wasabispar/app/ctl_options.cpp
@@ -18,6 +18,7 @@
 constexpr const char* kVmVariable = "WASABISPARCTL_VM";
 constexpr const char* kDefaultVm = "127.0.0.1:7071";
 constexpr std::int64_t kMaxTimeoutMs = 600000;
+constexpr std::int64_t kMaxWorst = 1000;
 
 /// One subcommand.
 struct Subcommand
@@ -57,7 +58,7 @@
       "and\n"
       "their limit (slots), mean latency, connections (open, share of this VM, limit of\n"
       "the upstream) and the index versions that it holds. Each --vm is shown.\n" },
-    { "explain", CtlCommand::Explain, "REQUEST-ID [--log FILE...]", 1, 1, true,
+    { "explain", CtlCommand::Explain, "REQUEST-ID", 1, 1, true,
       "What happened to a request.",
       "Shows the sub-requests of a query, why each was sent, and why shards are "
       "missing.\n"
@@ -67,7 +68,9 @@
       "Exit code 1: no VM has the record.\n"
       "With --log, the logs of wasabispar-edge are read instead, and the cause of the\n"
       "request's end is named; REQUEST-ID is the caller's id. One file for each VM, or\n"
-      "several that are rotated (edge.log.1, edge.log).\n"
+      "several that are rotated (edge.log.1, edge.log). `explain --log FILE... --worst "
+      "N`\n"
+      "lists the N requests with the worst ends.\n"
       "Exit code 1: no file names the request; 2: a file is unusable.\n" },
     { "check", CtlCommand::Check, "FILE...", 1, kAnyNumber, false,
       "Checks profile documents offline.",
@@ -113,6 +116,8 @@
   std::vector<std::string> mArguments;
   std::vector<std::string> mVms;
   std::vector<std::string> mLogFiles;
+  /// 0: not given.
+  std::int64_t mWorst = 0;
   std::string mSvgFile;
   std::int64_t mTimeoutMs = 2000;
 };
@@ -133,6 +138,9 @@
       "Longest wait for each VM, 1 to 600000.");
   add("log", options::value(&aFlags.mLogFiles)->multitoken()->value_name("FILE..."),
       "With `explain`, after the request id: logs of wasabispar-edge to read.");
+  add("worst", options::value(&aFlags.mWorst)->value_name("N"),
+      "With `explain --log` and no request id: list the N requests with the worst ends, "
+      "1 to 1000.");
   add("svg", options::value(&aFlags.mSvgFile)->value_name("FILE"),
       "With `burn`: write the plots as a picture.");
   return described;
@@ -193,7 +201,18 @@
 CheckUsage(const Subcommand& aSubcommand, const Flags& aFlags, bool aAsJson)
 {
   const auto count = aFlags.mArguments.size();
-  if (count < aSubcommand.mMinimum || count > aSubcommand.mMaximum) {
+  const bool isWorst = aFlags.mWorst != 0 &&
+                       aSubcommand.mCommand == CtlCommand::Explain &&
+                       !aFlags.mLogFiles.empty();
+  if (aFlags.mWorst != 0 && !isWorst) {
+    return Usage("--worst", "only with explain --log");
+  }
+  if (aFlags.mWorst < 0 || aFlags.mWorst > kMaxWorst) {
+    return Usage("--worst", "must be 1 to 1000");
+  }
+  const auto minimum = isWorst ? 0 : aSubcommand.mMinimum;
+  const auto maximum = isWorst ? 0 : aSubcommand.mMaximum;
+  if (count < minimum || count > maximum) {
     return Usage(aSubcommand.mName,
                  "usage: wasabisparctl " + aSubcommand.mName + " " + aSubcommand.mUsage);
   }
@@ -260,6 +279,7 @@
   request.mCommand = subcommand->mCommand;
   request.mArguments = flags.mArguments;
   request.mLogFiles = flags.mLogFiles;
+  request.mWorstCount = static_cast<std::size_t>(flags.mWorst);
   request.mSvgFile = flags.mSvgFile;
   request.mTimeout = std::chrono::milliseconds(flags.mTimeoutMs);
   if (subcommand->mUsesVm && flags.mLogFiles.empty()) {
@@ -300,11 +320,11 @@
   local subcommand=${COMP_WORDS[1]}
   COMPREPLY=()
   case $previous in
-    --vm|--timeout-ms) return ;;
+    --vm|--timeout-ms|--worst) return ;;
     --svg|--log) COMPREPLY=($(compgen -f -- "$word")); return ;;
   esac
   if [[ $word == -* ]]; then
-    COMPREPLY=($(compgen -W "--help --version --vm --json --timeout-ms --svg --log" -- "$word"))
+    COMPREPLY=($(compgen -W "--help --version --vm --json --timeout-ms --svg --log --worst" -- "$word"))
   elif [[ $COMP_CWORD -eq 1 ]]; then
     COMPREPLY=($(compgen -W ")" +
          names + R"(" -- "$word"))
--- a/src/wasabispar/app/ctl_run.cpp
+++ b/src/wasabispar/app/ctl_run.cpp
@@ -11,6 +11,8 @@
 #include "wasabispar/app/ctl_profiles.hpp"
 #include "wasabispar/app/ctl_status.hpp"
 #include "wasabispar/app/ctl_upstreams.hpp"
+#include "wasabispar/app/log_collector.hpp"
+#include "wasabispar/app/log_worst.hpp"
 
 #include <algorithm>
 
@@ -22,6 +24,8 @@
 
 constexpr const char* kLive = "live";
 constexpr unsigned kOk = 200;
+/// Requests with the same id in the logs; callers use an id once.
+constexpr std::size_t kMaxExplained = 16;
 
 /// A report as received and parsed.
 struct Fetched
@@ -198,6 +202,10 @@
 
   void ShowExplain()
   {
+    if (mRequest.mWorstCount > 0) {
+      ShowWorstFromLogs();
+      return;
+    }
     const auto& id = mRequest.mArguments.front();
     if (!mRequest.mLogFiles.empty()) {
       ShowExplainFromLogs(id);
@@ -215,20 +223,41 @@
 
   void ShowExplainFromLogs(const std::string& aId)
   {
-    LogCollector collector(aId);
+    std::vector<RequestExplanation> explanations;
+    LogCollector collector(aId, [&explanations](const LoggedRequest& aRequest) {
+      if (explanations.size() < kMaxExplained) {
+        explanations.push_back(ExplainRequest(aRequest));
+      }
+    });
+    ReadLogs(collector);
+    if (explanations.empty()) {
+      Fault(CtlExit::NotFound, NotFoundText(aId, collector.RejectedForMemory()));
+    }
+    Show(RenderLogExplanations(explanations, mRequest.mAsJson));
+  }
+
+  void ShowWorstFromLogs()
+  {
+    WorstRequests worst(mRequest.mWorstCount);
+    LogCollector collector(
+      {}, [&worst](const LoggedRequest& aRequest) { worst.Add(aRequest); });
+    ReadLogs(collector);
+    const auto explanations = worst.Take();
+    Show(mRequest.mAsJson ? RenderLogExplanations(explanations, true)
+                          : RenderWorstRequests(explanations));
+  }
+
+  void ReadLogs(LogCollector& aCollector)
+  {
     std::string vm;
     for (const auto& file : OrderLogFiles(mRequest.mLogFiles)) {
       if (file.mVmKey != vm) {
-        collector.BeginVm(file.mVmName);
+        aCollector.BeginVm(file.mVmName);
         vm = file.mVmKey;
       }
-      ReadLog(file.mName, collector);
-    }
-    const auto findings = collector.Finish();
-    if (findings.mRequests.empty()) {
-      Fault(CtlExit::NotFound, NotFoundText(aId, findings));
+      ReadLog(file.mName, aCollector);
     }
-    Show(RenderLogExplanations(aId, findings, mRequest.mAsJson));
+    aCollector.Finish();
   }
 
   /// A file without any event is not a log in the format that is read; an empty one is a
--- a/src/wasabispar/app/log_cause.cpp
+++ b/src/wasabispar/app/log_cause.cpp
@@ -18,43 +18,6 @@
 constexpr std::uint64_t kFirstUnsuccessfulStatus = 300;
 constexpr std::int64_t kMsPerSecond = 1000;
 
-RequestFate
-FateOf(const LoggedRequest& aRequest)
-{
-  if (!aRequest.mEnd) {
-    return RequestFate::Unknown;
-  }
-  const auto& end = *aRequest.mEnd;
-  const auto& outcome = end.mOutcome;
-  if (!end.mIsRouted) {
-    return RequestFate::Unrouted;
-  }
-  if (outcome == "answered") {
-    const bool isSuccess = end.mStatus < kFirstUnsuccessfulStatus;
-    // The daemon writes the steps of a complete and successful request only if it is
-    // late.
-    return isSuccess && !aRequest.mSteps.empty() ? RequestFate::Late
-                                                 : RequestFate::Answered;
-  }
-  if (outcome == "partial") {
-    return RequestFate::Partial;
-  }
-  if (outcome == "unavailable" || outcome == "no-permitted-upstream" ||
-      outcome == "quarantined") {
-    return RequestFate::Rejected;
-  }
-  if (outcome == "lost") {
-    return RequestFate::Lost;
-  }
-  if (outcome == "timeout") {
-    return RequestFate::Timeout;
-  }
-  if (outcome == "upstream-failed") {
-    return RequestFate::UpstreamFailed;
-  }
-  return outcome == "caller-left" ? RequestFate::CallerLeft : RequestFate::Unknown;
-}
-
 bool
 IsAnswered(const LoggedRequest& aRequest, std::size_t aPart)
 {
@@ -170,12 +133,12 @@
 {
   const auto at = aRequest.TimeAt(0);
   const auto end = aRequest.mEnd ? aRequest.mEnd->mTimeMs : std::nullopt;
-  const auto& history = aRequest.mVm.mHistory;
+  const auto& history = aRequest.mVm->mHistory;
   if (const auto* config = history.Last({ "config-in-force" }, at)) {
     aNotes.push_back("configuration " + config->mSubject + " in force, read " +
                      AgoText(*config, at));
   }
-  for (const auto& [dataCentre, events] : aRequest.mVm.mEvacuations) {
+  for (const auto& [dataCentre, events] : aRequest.mVm->mEvacuations) {
     const auto* last = events.Last({ "evacuation-started", "evacuation-ended" }, end);
     if (last && last->mEvent == "evacuation-started") {
       aNotes.push_back("data centre " + dataCentre + " evacuated");
@@ -287,10 +250,50 @@
   return "unknown";
 }
 
+RequestFate
+FateOf(const LoggedRequest& aRequest)
+{
+  if (!aRequest.mEnd) {
+    return RequestFate::Unknown;
+  }
+  const auto& end = *aRequest.mEnd;
+  const auto& outcome = end.mOutcome;
+  if (!end.mIsRouted) {
+    return RequestFate::Unrouted;
+  }
+  if (outcome == "answered") {
+    const bool isSuccess = end.mStatus < kFirstUnsuccessfulStatus;
+    // The daemon writes the steps of a complete and successful request only if it is
+    // late.
+    return isSuccess && !aRequest.mSteps.empty() ? RequestFate::Late
+                                                 : RequestFate::Answered;
+  }
+  if (outcome == "partial") {
+    return RequestFate::Partial;
+  }
+  if (outcome == "unavailable" || outcome == "no-permitted-upstream" ||
+      outcome == "quarantined") {
+    return RequestFate::Rejected;
+  }
+  if (outcome == "lost") {
+    return RequestFate::Lost;
+  }
+  if (outcome == "timeout") {
+    return RequestFate::Timeout;
+  }
+  if (outcome == "upstream-failed") {
+    return RequestFate::UpstreamFailed;
+  }
+  return outcome == "caller-left" ? RequestFate::CallerLeft : RequestFate::Unknown;
+}
+
 RequestExplanation
 ExplainRequest(const LoggedRequest& aRequest)
 {
   RequestExplanation explanation;
+  explanation.mRequest = aRequest;
+  explanation.mRequest.mVm = nullptr;
+  explanation.mVmName = aRequest.mVm->mName;
   explanation.mFate = FateOf(aRequest);
   AddGaps(aRequest, explanation.mUnknown);
   AddStateNotes(aRequest, explanation.mNotes);
--- a/src/wasabispar/app/log_collector.cpp
+++ b/src/wasabispar/app/log_collector.cpp
@@ -14,8 +14,6 @@
 constexpr std::size_t kMaxUpstreams = 100000;
 /// A trace has at most 256 entries.
 constexpr std::size_t kMaxSteps = 1024;
-/// Requests with the same id; callers use an id once.
-constexpr std::size_t kMaxRequests = 16;
 constexpr std::size_t kMaxDataCentres = 1000;
 /// Time by which the line `start` may follow other lines of its process. A VM has 0.084
 /// of a core, which delays the main thread.
@@ -66,7 +64,7 @@
   } else if (event == "start") {
     OnStart(*line);
   } else if (event == "memory-full") {
-    mFindings.mRejectedForMemory[mVm.mName] += line->Number("rejected").value_or(0);
+    mRejectedForMemory[mVm.mName] += line->Number("rejected").value_or(0);
   } else if (std::ranges::find(kUpstreamEvents, event) != kUpstreamEvents.end()) {
     OnUpstream(*line);
   } else if (std::ranges::find(kVmEvents, event) != kVmEvents.end()) {
@@ -138,9 +136,7 @@
   end.mStepsOmitted = aLine.Number("steps_omitted").value_or(0);
   end.mTookUs = aLine.Number("took_us").value_or(0);
   end.mTimeMs = aLine.TimeMs();
-  if (request == mRequestId) {
-    AddRequest(std::move(end));
-  }
+  Report(request, std::move(end));
   mSteps.clear();
   mStepsOf.clear();
 }
@@ -149,16 +145,13 @@
 LogCollector::OnUnrouted(const LogLine& aLine)
 {
   FlushSteps();
-  if (TextOf(aLine, "request") != mRequestId) {
-    return;
-  }
   LoggedEnd end;
   end.mIsRouted = false;
   end.mOutcome = TextOf(aLine, "outcome");
   end.mRoute = TextOf(aLine, "host");
   end.mConfigVersion = TextOf(aLine, "config_version");
   end.mTimeMs = aLine.TimeMs();
-  AddRequest(std::move(end));
+  Report(TextOf(aLine, "request"), std::move(end));
 }
 
 void
@@ -211,30 +204,23 @@
 }
 
 void
-LogCollector::AddRequest(std::optional<LoggedEnd> aEnd)
+LogCollector::Report(const std::string& aId, std::optional<LoggedEnd> aEnd)
 {
-  if (mFindings.mRequests.size() < kMaxRequests) {
-    mFindings.mRequests.push_back({ mSteps, std::move(aEnd), mVm });
+  if (mRequestId.empty() || aId == mRequestId) {
+    mOnRequest({ aId, mSteps, std::move(aEnd), &mVm });
   }
 }
 
-/// Drops the collected steps; those of the request that is looked for are kept without an
-/// end, which a full pipe may have dropped.
+/// Drops the collected steps. Those of a request that is to be reported are reported
+/// without an end, which a full pipe may have dropped.
 void
 LogCollector::FlushSteps()
 {
-  if (!mSteps.empty() && mStepsOf == mRequestId) {
-    AddRequest(std::nullopt);
+  if (!mSteps.empty()) {
+    Report(mStepsOf, std::nullopt);
   }
   mSteps.clear();
   mStepsOf.clear();
 }
 
-LogFindings
-LogCollector::Finish()
-{
-  FlushSteps();
-  return std::move(mFindings);
-}
-
 } // namespace wasabispar
--- a/src/wasabispar/app/log_part_cause.cpp
+++ b/src/wasabispar/app/log_part_cause.cpp
@@ -107,8 +107,8 @@
     if (!step->mService.empty()) {
       return step->mService;
     }
-    const auto found = aRequest.mVm.mUpstreams.find(step->mUpstream);
-    if (found != aRequest.mVm.mUpstreams.end() && !found->second.mService.empty()) {
+    const auto found = aRequest.mVm->mUpstreams.find(step->mUpstream);
+    if (found != aRequest.mVm->mUpstreams.end() && !found->second.mService.empty()) {
       return found->second.mService;
     }
   }
@@ -143,14 +143,14 @@
       return With(RequestCause::OutsideRegions,
                   "no upstream in the regions in which the request may be served");
     }
-    if (mRequest.mVm.mIsMixed) {
+    if (mRequest.mVm->mIsMixed) {
       return Unknown("the file has lines of several VMs, so the state of this one's "
                      "upstreams cannot be told");
     }
     if (!aService) {
       return WithoutService();
     }
-    const auto service = ServiceStateAt(mRequest.mVm, *aService, mAtMs);
+    const auto service = ServiceStateAt(*mRequest.mVm, *aService, mAtMs);
     if (service.mIsUncertain) {
       AddOnce(mUnknown, "service " + *aService +
                           ": lines lack the time or the data centre that tells whether "
@@ -191,7 +191,7 @@
 
   CauseOfEnd WithoutUpstreams(const std::string& aService) const
   {
-    if (!mRequest.mVm.mHasStart || mRequest.mVm.mIsIncomplete) {
+    if (!mRequest.mVm->mHasStart || mRequest.mVm->mIsIncomplete) {
       return Unknown("the upstreams of service " + aService +
                      ": the log does not begin with the VM's start");
     }
@@ -202,7 +202,7 @@
   CauseOfEnd FromStates(const std::string& aService, const ServiceState& aState) const
   {
     const auto upstreams = "upstreams of service " + aService + ": " + CountsText(aState);
-    if (!mRequest.mVm.mHasStart) {
+    if (!mRequest.mVm->mHasStart) {
       AddOnce(mUnknown, "further upstreams of service " + aService +
                           ": the log does not begin with the VM's start");
     }
@@ -248,21 +248,21 @@
 FromEnd(const LoggedRequest& aRequest, const LoggedStep& aEnd)
 {
   CauseOfEnd cause{ RequestCause::Upstream, aEnd.mPart, aEnd.mUpstream, EndText(aEnd) };
-  const auto upstream = aRequest.mVm.mUpstreams.find(aEnd.mUpstream);
+  const auto upstream = aRequest.mVm->mUpstreams.find(aEnd.mUpstream);
   const bool isNotRun = aEnd.mStep == "shed" || aEnd.mStep == "unreachable";
-  if (!isNotRun || upstream == aRequest.mVm.mUpstreams.end() || aRequest.mVm.mIsMixed) {
+  if (!isNotRun || upstream == aRequest.mVm->mUpstreams.end() || aRequest.mVm->mIsMixed) {
     return cause;
   }
   // A line on the upstream that its answer caused has the time of the step.
   auto at = aRequest.TimeAt(aEnd.mAtUs);
   at = at ? std::optional(*at + 1) : at;
-  const auto state = UpstreamStateAt(aRequest.mVm, upstream->second, at);
+  const auto state = UpstreamStateAt(*aRequest.mVm, upstream->second, at);
   if (state && *state != State::Usable) {
     cause.mCause = CauseOf(*state);
     cause.mText += "; it was " + ToText(*state);
     const auto& service = upstream->second.mService;
     cause.mText += "; upstreams of service " + service + ": " +
-                   CountsText(ServiceStateAt(aRequest.mVm, service, at));
+                   CountsText(ServiceStateAt(*aRequest.mVm, service, at));
   }
   return cause;
 }
@@ -285,7 +285,7 @@
   } else if (aRequest.mEnd && aRequest.mEnd->mOutcome == "lost") {
     cause.mCause = RequestCause::Unknown;
     cause.mText += "; why the VM ended the request is unknown";
-    if (aRequest.mVm.mHistory.Last({ "drain" }, aRequest.mEnd->mTimeMs)) {
+    if (aRequest.mVm->mHistory.Last({ "drain" }, aRequest.mEnd->mTimeMs)) {
       cause.mCause = RequestCause::Vm;
       cause.mText = "this VM stopped while " + aSend.mUpstream + " ran the request";
     }
@@ -302,9 +302,9 @@
   const auto wait = "it waited in the queue for " +
                     MillisecondsText(took - std::min(took, aQueued.mAtUs)) + ", with " +
                     std::to_string(aQueued.mFigure) + " ahead at first";
-  if (aService && !aRequest.mVm.mIsMixed) {
+  if (aService && !aRequest.mVm->mIsMixed) {
     const auto state =
-      ServiceStateAt(aRequest.mVm, *aService, aRequest.TimeAt(aQueued.mAtUs));
+      ServiceStateAt(*aRequest.mVm, *aService, aRequest.TimeAt(aQueued.mAtUs));
     const bool isHeldBack = state.Count(State::Usable) == 0 &&
                             state.Count(State::Limited) + state.Count(State::Cold) > 0;
     if (isHeldBack) {
@@ -375,7 +375,7 @@
 DominantPause(const LoggedRequest& aRequest)
 {
   const auto end = aRequest.mEnd ? aRequest.mEnd->mTimeMs : std::nullopt;
-  const auto* pause = aRequest.mVm.mHistory.Last({ "process-paused" }, end);
+  const auto* pause = aRequest.mVm->mHistory.Last({ "process-paused" }, end);
   if (!end || !pause || !pause->mTimeMs) {
     return std::nullopt;
   }
