--- a/src/wasabispar/app/ctl_options.cpp
+++ b/src/wasabispar/app/ctl_options.cpp
@@ -18,6 +18,7 @@
 constexpr const char* kVmVariable = "WASABISPARCTL_VM";
 constexpr const char* kDefaultVm = "127.0.0.1:7071";
 constexpr std::int64_t kMaxTimeoutMs = 600000;
+constexpr std::int64_t kMaxWorst = 1000;
 
 /// One subcommand.
 struct Subcommand
@@ -64,7 +65,13 @@
       "REQUEST-ID is the header Wasabispar-Request-Id of the answer. The VM that "
       "answered\n"
       "keeps the record; with several --vm each one is asked in turn.\n"
-      "Exit code 1: no VM has the record.\n" },
+      "Exit code 1: no VM has the record.\n"
+      "With --log, the logs of wasabispar-edge are read instead, and the cause of the\n"
+      "request's end is named; REQUEST-ID is the caller's id. One file for each VM, or\n"
+      "several that are rotated (edge.log.1, edge.log). `explain --log FILE... --worst "
+      "N`\n"
+      "lists the N requests with the worst ends.\n"
+      "Exit code 1: no file names the request; 2: a file is unusable.\n" },
     { "check", CtlCommand::Check, "FILE...", 1, kAnyNumber, false,
       "Checks profile documents offline.",
       "Checks profile documents with the rules of the VMs. The name of a file without\n"
@@ -108,6 +115,9 @@
   std::string mCommand;
   std::vector<std::string> mArguments;
   std::vector<std::string> mVms;
+  std::vector<std::string> mLogFiles;
+  /// 0: not given.
+  std::int64_t mWorst = 0;
   std::string mSvgFile;
   std::int64_t mTimeoutMs = 2000;
 };
@@ -126,6 +136,11 @@
   add("timeout-ms",
       options::value(&aFlags.mTimeoutMs)->value_name("MS")->default_value(2000),
       "Longest wait for each VM, 1 to 600000.");
+  add("log", options::value(&aFlags.mLogFiles)->multitoken()->value_name("FILE..."),
+      "With `explain`, after the request id: logs of wasabispar-edge to read.");
+  add("worst", options::value(&aFlags.mWorst)->value_name("N"),
+      "With `explain --log` and no request id: list the N requests with the worst ends, "
+      "1 to 1000.");
   add("svg", options::value(&aFlags.mSvgFile)->value_name("FILE"),
       "With `burn`: write the plots as a picture.");
   return described;
@@ -186,13 +201,30 @@
 CheckUsage(const Subcommand& aSubcommand, const Flags& aFlags, bool aAsJson)
 {
   const auto count = aFlags.mArguments.size();
-  if (count < aSubcommand.mMinimum || count > aSubcommand.mMaximum) {
+  const bool isWorst = aFlags.mWorst != 0 &&
+                       aSubcommand.mCommand == CtlCommand::Explain &&
+                       !aFlags.mLogFiles.empty();
+  if (aFlags.mWorst != 0 && !isWorst) {
+    return Usage("--worst", "only with explain --log");
+  }
+  if (aFlags.mWorst < 0 || aFlags.mWorst > kMaxWorst) {
+    return Usage("--worst", "must be 1 to 1000");
+  }
+  const auto minimum = isWorst ? 0 : aSubcommand.mMinimum;
+  const auto maximum = isWorst ? 0 : aSubcommand.mMaximum;
+  if (count < minimum || count > maximum) {
     return Usage(aSubcommand.mName,
                  "usage: wasabisparctl " + aSubcommand.mName + " " + aSubcommand.mUsage);
   }
   if (!aFlags.mSvgFile.empty() && aSubcommand.mCommand != CtlCommand::Burn) {
     return Usage("--svg", "only with burn");
   }
+  if (!aFlags.mLogFiles.empty() && aSubcommand.mCommand != CtlCommand::Explain) {
+    return Usage("--log", "only with explain");
+  }
+  if (!aFlags.mLogFiles.empty() && !aFlags.mVms.empty()) {
+    return Usage("--log", "not together with --vm");
+  }
   if (!aFlags.mVms.empty() && !aSubcommand.mUsesVm) {
     return Usage("--vm", "not used by " + aSubcommand.mName);
   }
@@ -246,9 +278,11 @@
   }
   request.mCommand = subcommand->mCommand;
   request.mArguments = flags.mArguments;
+  request.mLogFiles = flags.mLogFiles;
+  request.mWorstCount = static_cast<std::size_t>(flags.mWorst);
   request.mSvgFile = flags.mSvgFile;
   request.mTimeout = std::chrono::milliseconds(flags.mTimeoutMs);
-  if (subcommand->mUsesVm) {
+  if (subcommand->mUsesVm && flags.mLogFiles.empty()) {
     BOOST_LEAF_ASSIGN(request.mVms, ParseVms(flags.mVms, aEnvironment));
   }
   return request;
@@ -286,15 +320,15 @@
   local subcommand=${COMP_WORDS[1]}
   COMPREPLY=()
   case $previous in
-    --vm|--timeout-ms) return ;;
-    --svg) COMPREPLY=($(compgen -f -- "$word")); return ;;
+    --vm|--timeout-ms|--worst) return ;;
+    --svg|--log) COMPREPLY=($(compgen -f -- "$word")); return ;;
   esac
   if [[ $word == -* ]]; then
-    COMPREPLY=($(compgen -W "--help --version --vm --json --timeout-ms --svg" -- "$word"))
+    COMPREPLY=($(compgen -W "--help --version --vm --json --timeout-ms --svg --log --worst" -- "$word"))
   elif [[ $COMP_CWORD -eq 1 ]]; then
     COMPREPLY=($(compgen -W ")" +
          names + R"(" -- "$word"))
-  elif [[ $subcommand == check || $subcommand == diff ]]; then
+  elif [[ $subcommand == check || $subcommand == diff || " ${COMP_WORDS[*]} " == *" --log "* ]]; then
     COMPREPLY=($(compgen -f -- "$word"))
   elif [[ $subcommand == completion ]]; then
     COMPREPLY=($(compgen -W "bash" -- "$word"))
--- a/src/wasabispar/app/ctl_run.cpp
+++ b/src/wasabispar/app/ctl_run.cpp
@@ -6,10 +6,13 @@
 #include "wasabispar/app/ctl_documents.hpp"
 #include "wasabispar/app/ctl_explain.hpp"
 #include "wasabispar/app/ctl_json.hpp"
+#include "wasabispar/app/ctl_log_explain.hpp"
 #include "wasabispar/app/ctl_options.hpp"
 #include "wasabispar/app/ctl_profiles.hpp"
 #include "wasabispar/app/ctl_status.hpp"
 #include "wasabispar/app/ctl_upstreams.hpp"
+#include "wasabispar/app/log_collector.hpp"
+#include "wasabispar/app/log_worst.hpp"
 
 #include <algorithm>
 
@@ -21,6 +24,8 @@
 
 constexpr const char* kLive = "live";
 constexpr unsigned kOk = 200;
+/// Requests with the same id in the logs; callers use an id once.
+constexpr std::size_t kMaxExplained = 16;
 
 /// A report as received and parsed.
 struct Fetched
@@ -197,7 +202,15 @@
 
   void ShowExplain()
   {
+    if (mRequest.mWorstCount > 0) {
+      ShowWorstFromLogs();
+      return;
+    }
     const auto& id = mRequest.mArguments.front();
+    if (!mRequest.mLogFiles.empty()) {
+      ShowExplainFromLogs(id);
+      return;
+    }
     if (!RequestId::Parse(id)) {
       Fault(CtlExit::Usage, id + ": not a request id, which looks like 5f-1");
       return;
@@ -208,6 +221,62 @@
     }
   }
 
+  void ShowExplainFromLogs(const std::string& aId)
+  {
+    std::vector<RequestExplanation> explanations;
+    LogCollector collector(aId, [&explanations](const LoggedRequest& aRequest) {
+      if (explanations.size() < kMaxExplained) {
+        explanations.push_back(ExplainRequest(aRequest));
+      }
+    });
+    ReadLogs(collector);
+    if (explanations.empty()) {
+      Fault(CtlExit::NotFound, NotFoundText(aId, collector.RejectedForMemory()));
+    }
+    Show(RenderLogExplanations(explanations, mRequest.mAsJson));
+  }
+
+  void ShowWorstFromLogs()
+  {
+    WorstRequests worst(mRequest.mWorstCount);
+    LogCollector collector(
+      {}, [&worst](const LoggedRequest& aRequest) { worst.Add(aRequest); });
+    ReadLogs(collector);
+    const auto explanations = worst.Take();
+    Show(mRequest.mAsJson ? RenderLogExplanations(explanations, true)
+                          : RenderWorstRequests(explanations));
+  }
+
+  void ReadLogs(LogCollector& aCollector)
+  {
+    std::string vm;
+    for (const auto& file : OrderLogFiles(mRequest.mLogFiles)) {
+      if (file.mVmKey != vm) {
+        aCollector.BeginVm(file.mVmName);
+        vm = file.mVmKey;
+      }
+      ReadLog(file.mName, aCollector);
+    }
+    aCollector.Finish();
+  }
+
+  /// A file without any event is not a log in the format that is read; an empty one is a
+  /// log of a VM that has logged nothing yet.
+  void ReadLog(const std::string& aFile, LogCollector& aCollector)
+  {
+    std::size_t lines = 0;
+    std::size_t events = 0;
+    const bool isRead = mHooks.mReadLines(aFile, [&](std::string_view aLine) {
+      ++lines;
+      events += aCollector.OnLine(aLine) ? 1 : 0;
+    });
+    if (!isRead) {
+      Fault(CtlExit::Usage, aFile + ": cannot be read");
+    } else if (lines > 0 && events == 0) {
+      Fault(CtlExit::Usage, aFile + ": has no event in the keyvalue format");
+    }
+  }
+
   void ShowChecks()
   {
     std::vector<DocumentCheck> checks;
--- a/src/wasabispar/gateway/active_request.hpp
+++ b/src/wasabispar/gateway/active_request.hpp
@@ -208,6 +208,8 @@
   FanOutState mFanOutState;
   /// The rank of the parts among those that wait.
   WaitRank mRank = WaitRank::Regular;
+  /// The service of each part.
+  std::vector<ServiceName> mServices;
   /// Start() is sending the parts; no decision is made until all were sent.
   bool mIsStarting = true;
   bool mIsFinished = false;
