--- a/tests/standins/connection_server.cpp
+++ b/tests/standins/connection_server.cpp
@@ -22,6 +22,8 @@
 
 namespace {
 constexpr std::size_t kMaxBodyBytes = 8 * 1024 * 1024;
+/// Bounds what an endless response adds to the buffers of its peer and of a relay.
+constexpr auto kWritePause = std::chrono::milliseconds(5);
 class Connection;
 } // namespace
 
@@ -89,6 +91,8 @@
   void Silence() { mSilent = true; }
   void Write(HttpResponse aResponse);
   void WriteRaw(std::string aBytes, bool aKeepOpen);
+  void WriteEndlessly(std::string aNext, std::string aRepeated);
+  void WriteLater(std::string aRepeated);
 
 private:
   class PendingExchange : public Exchange
@@ -117,6 +121,13 @@
         connection->WriteRaw(std::move(aBytes), aKeepOpen);
       }
     }
+    void RespondEndlessly(std::string aBegin, std::string aRepeated) override
+    {
+      mGone = nullptr;
+      if (const auto connection = std::exchange(mConnection, nullptr)) {
+        connection->WriteEndlessly(std::move(aBegin), std::move(aRepeated));
+      }
+    }
     void Gone()
     {
       mConnection.reset();
@@ -251,6 +262,33 @@
     });
 }
 
+void
+Connection::WriteEndlessly(std::string aNext, std::string aRepeated)
+{
+  mPending.reset();
+  const auto bytes = std::make_shared<std::string>(std::move(aNext));
+  asio::async_write(mSocket, asio::buffer(*bytes),
+                    [self = shared_from_this(), bytes,
+                     aRepeated = std::move(aRepeated)](error_code aError, std::size_t) {
+                      if (aError) {
+                        self->Reset();
+                      } else {
+                        self->WriteLater(aRepeated);
+                      }
+                    });
+}
+
+void
+Connection::WriteLater(std::string aRepeated)
+{
+  mTimer.expires_after(kWritePause);
+  mTimer.async_wait([self = shared_from_this(), aRepeated](error_code aError) {
+    if (!aError && self->mSocket.is_open()) {
+      self->WriteEndlessly(aRepeated, aRepeated);
+    }
+  });
+}
+
 void
 Connection::WriteRaw(std::string aBytes, bool aKeepOpen)
 {
--- a/tests/standins/connection_server.hpp
+++ b/tests/standins/connection_server.hpp
@@ -29,6 +29,9 @@
   /// @brief Sends @p aBytes as they are in place of a response. Then resets the
   /// connection, or reads the next request if @p aKeepOpen.
   virtual void RespondRaw(std::string aBytes, bool aKeepOpen) = 0;
+  /// @brief Sends @p aBegin and then @p aRepeated again and again, about every 5 ms,
+  /// until the peer closes the connection.
+  virtual void RespondEndlessly(std::string aBegin, std::string aRepeated) = 0;
   /// @brief Calls @p aFn when the peer closes the connection before the response.
   virtual void OnGone(std::function<void()> aFn) = 0;
   /// @brief When the server read the request; after a freeze later than its arrival.
