Answers wait for memory instead of being dropped

Cause: with a memory budget, each answer was reserved byte by byte. After a pause of the worker, many answers arrive together, use up the share while each of them is incomplete, and ended as lost connections: the caller got 502 "lost" although the upstream had answered.

Change: an answer that states its length is read once its whole length fits, in the order of arrival, within the time of its exchange. Requests are admitted by the answers of unknown length and by what waits. Only with a memory budget (limits.memory_mb).

--- a/include/wasabispar/net/http_client.hpp
+++ b/include/wasabispar/net/http_client.hpp
@@ -58,6 +58,11 @@
   /// Whether the body stays counted in the budget until the response is destroyed
   /// (HttpResponse::mReservedMemory), and not only while it is read.
   bool mKeepsReservation = false;
+  /// Whether a body of stated length is reserved as a whole before it is read, and waits
+  /// within the time of the exchange while the budget is used up. Otherwise it is
+  /// reserved as it arrives, and an exchange that exceeds the budget ends as
+  /// ConnectionLost, as do bodies without a length, or longer than the budget.
+  bool mWaitsForBudget = false;
 };
 
 /// @brief The result of an exchange.
--- a/src/wasabispar/gateway/service_pool.cpp
+++ b/src/wasabispar/gateway/service_pool.cpp
@@ -32,6 +32,7 @@
   options.mQueue.mMaxLengthPerCaller = 64;
   options.mResponseBudget = aOptions.mResponseBudget;
   options.mResponseLimits.mKeepsReservation = aOptions.mCountsHeldAnswers;
+  options.mResponseLimits.mWaitsForBudget = aOptions.mCountsHeldAnswers;
   return options;
 }
 
--- a/src/wasabispar/net/http_client.cpp
+++ b/src/wasabispar/net/http_client.cpp
@@ -8,6 +8,8 @@
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -36,6 +38,10 @@
 /// for each byte.
 constexpr std::uint64_t kMaxChunkOverhead = 8;
 
+/// A body of at most this length does not wait behind longer ones while the budget has
+/// room for it: an answer of 1 kB would be late because of answers of 1 MB.
+constexpr std::uint64_t kShortBodyBytes = 64 * 1024;
+
 /// Subtracted from the idle timeout announced by the peer, because shortly before its end
 /// the peer's close may already be on the way.
 constexpr Duration kKeepAliveMargin = std::chrono::milliseconds(500);
@@ -97,6 +103,7 @@
     , mBudget(std::move(aBudget))
     , mStream(aContext)
     , mBuffer(aLimits.mMaxHeaderBytes + kMaxReadBytes)
+    , mWaitTimer(aContext)
   {
   }
 
@@ -120,7 +127,12 @@
   {
     mIsUsable = false;
     mIsClosing = true;
-    asio::dispatch(mStream.get_executor(), [self = Self()] { self->mStream.close(); });
+    asio::dispatch(mStream.get_executor(), [self = Self()] {
+      self->mStream.close();
+      if (self->mPlace) {
+        self->CancelWaiting();
+      }
+    });
   }
 
   bool IsUsable() const override { return mIsUsable; }
@@ -150,6 +162,14 @@
   /// Bytes read so far that are not part of a body.
   std::uint64_t mOverheadBytes = 0;
   ExchangeFn mDone;
+  /// When the exchange times out.
+  TimePoint mDeadline{};
+  /// Place in mBudget while the body waits to be read; then no read is pending.
+  std::optional<ByteBudget::PlaceId> mPlace;
+  /// Ends an exchange whose body waits at mDeadline.
+  asio::steady_timer mWaitTimer;
+  /// Whether the length of the body was reserved, or is not reserved as a whole.
+  bool mIsBodyAdmitted = false;
   /// Whether the whole request has been written to the socket.
   bool mIsRequestWritten = false;
   TimePoint mLastUse{};
@@ -211,6 +231,7 @@
       ToBeast(std::move(aRequest), mEndpoint));
     mOverheadBytes = 0;
     mIsRequestWritten = false;
+    mDeadline = BootClock::now() + aTimeout;
     mStream.expires_after(aTimeout);
     http::async_write(
       mStream, *mRequest,
@@ -230,6 +251,7 @@
     mParser->header_limit(mLimits.mMaxHeaderBytes);
     mParser->body_limit(mLimits.mMaxBodyBytes);
     mParser->skip(mRequest->method() == http::verb::head);
+    mIsBodyAdmitted = !mBudget || !mLimits.mWaitsForBudget;
     mParser->get().body().mReservation = ByteBudget::Reservation(mBudget);
     ReadSome();
   }
@@ -256,7 +278,7 @@
     } else if (mOverheadBytes > maxOverheadBytes) {
       EndExchange(HttpExchangeEnd::ConnectionLost, "too many bytes beside the body");
     } else if (!mParser->is_done()) {
-      ReadSome();
+      ReadAdmitted();
     } else if (IsInterim()) {
       ReadResponse();
     } else {
@@ -264,6 +286,79 @@
     }
   }
 
+  /// Reads on, after the length of the body was reserved if it is to be.
+  void ReadAdmitted()
+  {
+    if (mIsBodyAdmitted || !mParser->is_header_done()) {
+      ReadSome();
+      return;
+    }
+    mIsBodyAdmitted = true;
+    const auto bytes = mParser->content_length_remaining().value_or(0);
+    auto& reservation = mParser->get().body().mReservation;
+    const bool mayTake = bytes <= kShortBodyBytes || (mBudget->WaitingBytes() == 0 &&
+                                                      mBudget->MayReserveAhead(bytes));
+    if (bytes > mBudget->Limit()) {
+      ReadSome();
+    } else if (mayTake && reservation.ReserveAhead(bytes)) {
+      ReadReserved(bytes);
+    } else {
+      AwaitBudget(bytes);
+    }
+  }
+
+  /// Reads a body of which @p aBytes are reserved, into a string that does not grow.
+  void ReadReserved(std::uint64_t aBytes)
+  {
+    auto& text = mParser->get().body().mText;
+    text.reserve(text.size() + aBytes);
+    ReadSome();
+  }
+
+  void AwaitBudget(std::uint64_t aBytes)
+  {
+    mPlace.emplace();
+    mWaitTimer.expires_after(std::chrono::duration_cast<asio::steady_timer::duration>(
+      mDeadline - BootClock::now()));
+    mWaitTimer.async_wait([self = Self()](beast::error_code aError) {
+      if (!aError && self->mPlace) {
+        self->EndExchange(HttpExchangeEnd::TimedOut, "no memory for the response");
+      }
+    });
+    mPlace = mBudget->Await(aBytes, [weak = std::weak_ptr(Self()),
+                                     aBytes](ByteBudget::Reservation aBytesTaken) {
+      const auto self = weak.lock();
+      if (!self) {
+        return;
+      }
+      auto taken = std::make_shared<ByteBudget::Reservation>(std::move(aBytesTaken));
+      asio::post(self->mStream.get_executor(),
+                 [self, aBytes, taken] { self->OnBudget(std::move(*taken), aBytes); });
+    });
+  }
+
+  /// Posted, as the end of a pending read would be: the caller of Close() may not expect
+  /// the callback before it returns.
+  void CancelWaiting()
+  {
+    asio::post(mStream.get_executor(), [self = Self()] {
+      if (self->mPlace) {
+        self->EndExchange(HttpExchangeEnd::Cancelled, "cancelled");
+      }
+    });
+  }
+
+  void OnBudget(ByteBudget::Reservation aTaken, std::uint64_t aBytes)
+  {
+    if (!mPlace) {
+      return;
+    }
+    mPlace.reset();
+    mWaitTimer.cancel();
+    mParser->get().body().mReservation = std::move(aTaken);
+    ReadReserved(aBytes);
+  }
+
   /// Whether the response is followed by the answer.
   bool IsInterim() const { return mParser->get().result_int() < 200; }
 
@@ -311,6 +406,10 @@
   {
     mIsUsable = false;
     mStream.close();
+    if (const auto place = std::exchange(mPlace, std::nullopt)) {
+      mWaitTimer.cancel();
+      mBudget->Leave(*place);
+    }
     mRequest = nullptr;
     mParser.reset();
     std::exchange(mDone, nullptr)(HttpExchangeResult{ aEnd, {}, std::move(aCause) });
--- a/src/wasabispar/net/memory_budget.cpp
+++ b/src/wasabispar/net/memory_budget.cpp
@@ -16,10 +16,14 @@
 /// On a very small VM, the shares together are at least one in this many bytes.
 constexpr std::uint64_t kMinPartDivisor = 8;
 constexpr std::uint64_t kShareCount = 3;
-/// New requests begin while at most this part of the share for answers is taken. The rest
-/// is for the answers to those that run.
+/// New requests begin while answers of unknown length hold at most this part of the share
+/// for answers. The rest is for the answers to those that run.
 constexpr std::uint64_t kAdmissionNumerator = 3;
 constexpr std::uint64_t kAdmissionDivisor = 4;
+/// New requests begin while at most this many times the share for answers waits to be
+/// read. The kernel holds a part of what waits, for which there is memory: a string of
+/// known length does not grow (kGrowthFactor).
+constexpr std::uint64_t kWaitingFactor = 2;
 
 } // namespace
 
@@ -43,7 +47,8 @@
 MemoryBudget::MayBegin(std::uint64_t aBodyBytes) const
 {
   const auto forNew = mAnswers->Limit() / kAdmissionDivisor * kAdmissionNumerator;
-  return aBodyBytes <= mRequests->Available() && mAnswers->Reserved() <= forNew;
+  return aBodyBytes <= mRequests->Available() && mAnswers->ReservedAsRead() <= forNew &&
+         mAnswers->WaitingBytes() <= mAnswers->Limit() * kWaitingFactor;
 }
 
 } // namespace wasabispar
--- a/src/wasabispar/net/memory_budget_test.cpp
+++ b/src/wasabispar/net/memory_budget_test.cpp
@@ -47,6 +47,55 @@
   CHECK(answers.Grow(99));
 }
 
+/// Guards against requests that are rejected because of answers that need no further
+/// memory, and against a queue of answers without a bound.
+TEST_CASE("answers that are reserved ahead admit requests, a long queue does not")
+{
+  MemoryBudget budget({ 400, 100, 100 });
+  ByteBudget::Reservation first(budget.Answers());
+  REQUIRE(first.ReserveAhead(400));
+  CHECK(budget.MayBegin(0));
+  REQUIRE(first.Grow(400));
+  CHECK(budget.MayBegin(0));
+  CHECK_FALSE(first.Grow(1));
+  budget.Answers()->Await(400, [](const ByteBudget::Reservation&) {});
+  budget.Answers()->Await(400, [](const ByteBudget::Reservation&) {});
+  CHECK(budget.MayBegin(0));
+  budget.Answers()->Await(1, [](const ByteBudget::Reservation&) {});
+  CHECK_FALSE(budget.MayBegin(0));
+}
+
+/// Guards against bytes that are granted twice or out of order, and against a place that
+/// stops those behind it after it was left.
+TEST_CASE("bytes that are released go to those that have waited longest")
+{
+  const auto budget = std::make_shared<ByteBudget>(100);
+  ByteBudget::Reservation held(budget);
+  REQUIRE(held.ReserveAhead(100));
+  std::vector<int> granted;
+  std::vector<ByteBudget::Reservation> reservations;
+  const auto await = [&](std::uint64_t aBytes, int aNumber) {
+    return budget->Await(aBytes, [&, aNumber](ByteBudget::Reservation aReservation) {
+      granted.push_back(aNumber);
+      reservations.push_back(std::move(aReservation));
+    });
+  };
+  await(45, 1);
+  const auto left = await(45, 2);
+  await(30, 3);
+  CHECK(granted.empty());
+  held = {};
+  CHECK(granted == std::vector<int>{ 1 });
+  budget->Leave(left);
+  CHECK(granted == std::vector<int>{ 1, 3 });
+  // The last quarter is left to messages of unknown length.
+  CHECK_FALSE(budget->MayReserveAhead(1));
+  CHECK(budget->Available() == 25);
+  CHECK(budget->WaitingBytes() == 0);
+  reservations.clear();
+  CHECK(budget->Reserved() == 0);
+}
+
 /// Guards against responses that wait for callers and use up another direction.
 TEST_CASE("a direction that is used up takes nothing from the others")
 {
--- a/tests/gateway/memory_test.cpp
+++ b/tests/gateway/memory_test.cpp
@@ -189,3 +189,45 @@
   CHECK(first.Requests() == 1);
   CHECK(second.Requests() == 1);
 }
+
+/// Guards against answers that are dropped, and reported as lost, because many arrive at
+/// once after a pause of the worker.
+TEST_CASE_FIXTURE(LimitedGateway, "an answer waits while the share for answers is full")
+{
+  auto& upstream = Add("s", "a");
+  Add("t", "b");
+  SetRoutes(
+    { MakeRoute("long", ServiceName("s")), MakeRoute("short", ServiceName("t")) });
+  ByteBudget::Reservation others(mMemory->Answers());
+  OnWorker([&] {
+    upstream.mBody = std::string(2'000'000, 'a');
+    CHECK(others.Grow(kShareBytes - 10'000));
+  });
+  auto waiting = Send("/long/x", 900ms);
+  CHECK(Eventually([&] { return mMemory->Answers()->WaitingBytes() == 2'000'000; }));
+  SUBCASE("until there is room, with short ones passing it")
+  {
+    CHECK(SendAndWait("/short/x").mResponse.mStatus == 200);
+    OnWorker([&] { others = {}; });
+    const auto answer = waiting.get();
+    CHECK(answer.mResponse.mStatus == 200);
+    CHECK(answer.mResponse.mBody.size() == 2'000'000);
+    CHECK(upstream.Requests() == 1);
+  }
+  SUBCASE("until the time of the request has run out")
+  {
+    CHECK(waiting.get().mResponse.mBody == "timeout");
+    OnWorker([&] { others = {}; });
+  }
+  SUBCASE("until its caller leaves")
+  {
+    DisconnectCaller();
+    // The bound is shorter than the time of the request.
+    CHECK(EventuallyOn(
+      GatewayWorker(), [&] { return mMemory->Answers()->WaitingBytes() == 0; }, 400ms));
+    OnWorker([&] { others = {}; });
+  }
+  CHECK(Eventually([&] {
+    return mMemory->Answers()->Reserved() == 0 && mMemory->Answers()->WaitingBytes() == 0;
+  }));
+}
