--- a/tests/gateway/cold_test.cpp
+++ b/tests/gateway/cold_test.cpp
@@ -294,6 +294,32 @@
   CHECK(pool.Choose().mKind == PlacementResult::Kind::Busy);
 }
 
+/// Guards against requests that are chosen at different times, wait for a connection, and
+/// reach an upstream together that has named a limit.
+TEST_CASE("requests that wait for a connection start within the upstream's own limit")
+{
+  ColdPool pool;
+  pool.Add(0);
+  auto& replica = *pool.Choose().mReplica;
+  ColdLimit::ExchangeId chosen = 1;
+  // One was chosen before the limit was known.
+  pool.mPool.OnChosen(replica, chosen, pool.mNow);
+  pool.mPool.OnRequestLimit(replica, 20, pool.mNow, pool.mNow);
+  for (int i = 0; i < 20; ++i) {
+    pool.mNow += 50ms;
+    chosen += pool.ReserveAll(chosen + 1);
+  }
+  int started = 0;
+  for (ColdLimit::ExchangeId i = 1; i <= chosen; ++i) {
+    started += pool.mPool.MayStart(replica, i, pool.mNow) ? 1 : 0;
+    ServicePool::OnExchangeEnd(replica, i);
+  }
+  // This VM saves up 250 ms of its share.
+  CHECK(started == 5);
+  CHECK(chosen == 5);
+  CHECK(pool.Choose().mKind == PlacementResult::Kind::Busy);
+}
+
 /// Guards against a share that is used twice in a window, because the requests to a warm
 /// upstream were forgotten when its entry lapsed.
 TEST_CASE("requests from before an entry lapsed count when the upstream returns cold")
--- a/tests/gateway/request_limit_test.cpp
+++ b/tests/gateway/request_limit_test.cpp
@@ -2,12 +2,10 @@
 /// @brief Tests of upstreams that limit the requests that they take from all VMs.
 #include "gateway_fixture.hpp"
 
-#include <boost/asio/io_context.hpp>
 #include <doctest/doctest.h>
 
 #include <future>
 #include <thread>
-#include <tuple>
 #include <vector>
 
 using namespace wasabispar;
@@ -60,42 +58,6 @@
 
 } // namespace
 
-/// Guards against requests that are chosen at different times, wait for a connection, and
-/// reach the upstream together.
-TEST_CASE("requests that wait for a connection start within the limit")
-{
-  boost::asio::io_context context;
-  ServicePool pool(context, {});
-  pool.Configure({ ServiceName("s"), 64, {} });
-  UpstreamRecord record;
-  record.mId = UpstreamId("u");
-  record.mAddress = UpstreamAddress("127.0.0.1:1");
-  record.mSlots = 64;
-  std::ignore = pool.OnChange({ UpstreamChange::Kind::Added, record });
-  pool.UpdateQuotas();
-  auto& replica = *pool.Find(record.mId);
-  auto now = BootClock::now();
-  ColdLimit::ExchangeId chosen = 0;
-  // One was chosen before the limit was known.
-  pool.OnChosen(replica, ++chosen, now);
-  pool.OnRequestLimit(replica, kLimit, now, now);
-  for (int i = 0; i < 20; ++i) {
-    now += 50ms;
-    if (pool.Choose({}, now).mReplica) {
-      pool.OnChosen(replica, ++chosen, now);
-    }
-  }
-  int started = 0;
-  for (ColdLimit::ExchangeId i = 1; i <= chosen; ++i) {
-    started += pool.MayStart(replica, i, now) ? 1 : 0;
-    ServicePool::OnExchangeEnd(replica, i);
-  }
-  // This VM saves up 250 ms of its share.
-  CHECK(started == static_cast<int>(kLimit * 0.25));
-  CHECK(chosen == static_cast<ColdLimit::ExchangeId>(started));
-  CHECK(pool.Choose({}, now).mKind == PlacementResult::Kind::Busy);
-}
-
 /// Guards against an upstream in need that gets more requests than it takes.
 TEST_CASE_FIXTURE(LimitedUpstreams, "limited upstreams get no more than they take")
 {
