--- a/tests/gateway/cold_test.cpp
+++ b/tests/gateway/cold_test.cpp
@@ -294,6 +294,32 @@
   CHECK(pool.Choose().mKind == PlacementResult::Kind::Busy);
 }
 
+/// Guards against requests that are chosen at different times, wait for a connection, and
+/// reach an upstream together that has named a limit.
+TEST_CASE("requests that wait for a connection start within the upstream's own limit")
+{
+  ColdPool pool;
+  pool.Add(0);
+  auto& replica = *pool.Choose().mReplica;
+  ColdLimit::ExchangeId chosen = 1;
+  // One was chosen before the limit was known.
+  pool.mPool.OnChosen(replica, chosen, pool.mNow);
+  pool.mPool.OnRequestLimit(replica, 20, pool.mNow, pool.mNow);
+  for (int i = 0; i < 20; ++i) {
+    pool.mNow += 50ms;
+    chosen += pool.ReserveAll(chosen + 1);
+  }
+  int started = 0;
+  for (ColdLimit::ExchangeId i = 1; i <= chosen; ++i) {
+    started += pool.mPool.MayStart(replica, i, pool.mNow) ? 1 : 0;
+    ServicePool::OnExchangeEnd(replica, i);
+  }
+  // This VM saves up 250 ms of its share.
+  CHECK(started == 5);
+  CHECK(chosen == 5);
+  CHECK(pool.Choose().mKind == PlacementResult::Kind::Busy);
+}
+
 /// Guards against a share that is used twice in a window, because the requests to a warm
 /// upstream were forgotten when its entry lapsed.
 TEST_CASE("requests from before an entry lapsed count when the upstream returns cold")
@@ -304,9 +330,7 @@
   for (ColdLimit::ExchangeId i = 1; i <= kPerSecond; ++i) {
     CHECK(pool.mPool.MayStart(replica, i, pool.mNow));
   }
-  UpstreamRecord record;
-  record.mId = UpstreamId("u");
-  std::ignore = pool.mPool.OnChange({ UpstreamChange::Kind::Removed, record });
+  std::ignore = pool.mPool.OnChange({ UpstreamChange::Kind::Removed, replica.mRecord });
   pool.mPool.Tick();
   pool.Add(UnixMilliseconds());
   CHECK(pool.ReserveAll(10) == 0);
@@ -326,27 +350,26 @@
   };
   ColdPool pool(options);
   pool.mPool.Configure({ ServiceName("s"), 16, {} });
-  SUBCASE("a young incarnation")
+  SUBCASE("added")
   {
     pool.Add(UnixMilliseconds());
   }
-  SUBCASE("a response, an entry or the end of an evacuation")
+  SUBCASE("response")
   {
     pool.Add(0);
-    auto record = pool.mPool.Find(UpstreamId("u"))->mRecord;
-    SUBCASE("response")
-    {
-      pool.mPool.OnWarmupStated(*pool.mPool.Find(record.mId), 20s, pool.mNow);
-    }
-    SUBCASE("entry")
-    {
-      record.mWarmup = WarmupNotice{ 20s, Revision(7) };
-      std::ignore = pool.mPool.OnChange({ UpstreamChange::Kind::Updated, record });
-    }
-    SUBCASE("evacuation")
-    {
-      pool.mPool.OnEvacuationEnded(DataCentreId("a"), pool.mNow);
-    }
+    pool.mPool.OnWarmupStated(*pool.Choose().mReplica, 20s, pool.mNow);
+  }
+  SUBCASE("entry")
+  {
+    pool.Add(0);
+    auto record = pool.Choose().mReplica->mRecord;
+    record.mWarmup = WarmupNotice{ 20s, Revision(7) };
+    std::ignore = pool.mPool.OnChange({ UpstreamChange::Kind::Updated, record });
+  }
+  SUBCASE("evacuation")
+  {
+    pool.Add(0);
+    pool.mPool.OnEvacuationEnded(DataCentreId("a"), pool.mNow);
   }
   CHECK(pool.ReserveAll(1) > kPerSecond);
   CHECK(reported.empty());
