Tests: one line less in the test of link demands

Cause: a demand was copied and changed where it can be written directly. Change: the demand of the other service is a constant.

--- a/src/wasabispar/routing/link_load_test.cpp
+++ b/src/wasabispar/routing/link_load_test.cpp
@@ -50,8 +50,7 @@
   CHECK_FALSE(load.RejectionWait(kFanOut, 0ms, kNow));
   CHECK(load.RejectionWait(kLookup, 0ms, kNow));
   CHECK(load.RejectionWait(kFanOut, 0ms, kNow + 1s));
-  auto other = kFanOut;
-  other.mFirstService = ServiceFingerprint(2);
+  const LinkDemand other{ ServiceFingerprint(2), 1, 54'000, 15ms, 170ms };
   CHECK_FALSE(load.RejectionWait(other, 0ms, kNow + 1s));
   CHECK_FALSE(load.RejectionWait(kFanOut, 0ms, kNow + 3s));
 }
