--- a/review/standin-2/world.hpp
+++ b/review/standin-2/world.hpp
@@ -52,18 +52,18 @@
 inline std::string
 Base64(const std::string& aText)
 {
-  static const char* sKDigits =
+  static const char* const kDigits =
     "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
   std::string out;
   for (std::size_t i = 0; i < aText.size(); i += 3) {
-    const auto byte = [aText](std::size_t aT) {
-      return aT < aText.size() ? static_cast<unsigned char>(aText[aT]) : 0U;
+    const auto byte = [&aText](std::size_t aAt) {
+      return aAt < aText.size() ? static_cast<unsigned char>(aText[aAt]) : 0U;
     };
     const unsigned group = byte(i) << 16 | byte(i + 1) << 8 | byte(i + 2);
-    out += sKDigits[group >> 18 & 63];
-    out += sKDigits[group >> 12 & 63];
-    out += i + 1 < aText.size() ? sKDigits[group >> 6 & 63] : '=';
-    out += i + 2 < aText.size() ? sKDigits[group & 63] : '=';
+    out += kDigits[group >> 18 & 63];
+    out += kDigits[group >> 12 & 63];
+    out += i + 1 < aText.size() ? kDigits[group >> 6 & 63] : '=';
+    out += i + 2 < aText.size() ? kDigits[group & 63] : '=';
   }
   return out;
 }
@@ -143,11 +143,14 @@
   /// Writes an item; the return is the acknowledgement.
   double Put(const std::string& aKey, const std::string& aValue)
   {
+    const auto encoded = Base64(aValue);
     const std::lock_guard lock(mMutex);
     ++mRevision;
-    const auto created = mItems.contains(aKey) ? mItems[aKey].mCreated : mRevision;
-    mItems[aKey] = { aValue, mRevision, created };
-    mEvents.push_back({ mRevision, aKey, ItemJson(aKey, mItems[aKey]), Now() });
+    auto& item = mItems[aKey];
+    item.mCreated = item.mRevision == 0 ? mRevision : item.mCreated;
+    item.mRevision = mRevision;
+    item.mJson = ItemJson(aKey, encoded, item);
+    mEvents.push_back({ mRevision, aKey, item.mJson, Now() });
     mChanged.notify_all();
     return Now();
   }
@@ -180,9 +183,10 @@
 private:
   struct Item
   {
-    std::string mValue;
     std::uint64_t mRevision = 0;
     std::uint64_t mCreated = 0;
+    /// The item as it is sent.
+    std::string mJson;
   };
   struct Event
   {
@@ -200,6 +204,18 @@
     std::atomic<bool> mIsEnded{ false };
     std::set<int> mSockets;
     std::mutex mMutex;
+    /// When the link has sent all that it was given.
+    double mFreeAt = 0;
+
+    /// When the link has sent so many bytes more. Late wake-ups do not slow it down.
+    double TakeTime(std::size_t aBytes)
+    {
+      constexpr double kLateS = 0.1;
+      const std::lock_guard lock(mMutex);
+      mFreeAt = std::max(mFreeAt, Now() - kLateS);
+      mFreeAt += static_cast<double>(aBytes) / mBytesPerSecond;
+      return mFreeAt;
+    }
   };
 
   std::string mIp;
@@ -215,9 +231,10 @@
   std::uint64_t mDroppedRevision = 0;
   std::map<std::string, double> mLastWatch;
 
-  static std::string ItemJson(const std::string& aKey, const Item& aItem)
+  static std::string ItemJson(const std::string& aKey, const std::string& aEncoded,
+                              const Item& aItem)
   {
-    return "{\"key\":\"" + aKey + "\",\"value\":\"" + Base64(aItem.mValue) +
+    return "{\"key\":\"" + aKey + "\",\"value\":\"" + aEncoded +
            "\",\"revision\":" + std::to_string(aItem.mRevision) +
            ",\"created_rev\":" + std::to_string(aItem.mCreated) + ",\"lease_id\":0}";
   }
@@ -235,11 +252,7 @@
     constexpr std::size_t kPiece = 16384;
     for (std::size_t at = 0; at < text.size(); at += kPiece) {
       const auto piece = text.substr(at, kPiece);
-      // One connection after the other, as on a link.
-      const std::lock_guard lock(aLink.mMutex);
-      if (text.size() > kPiece) {
-        Sleep(static_cast<double>(piece.size()) / aLink.mBytesPerSecond);
-      }
+      Sleep(aLink.TakeTime(piece.size()) - Now());
       if (aLink.mIsCut || !aConnection.Write(piece)) {
         return false;
       }
@@ -282,7 +295,7 @@
         if (found == mItems.end()) {
           status = "404 Not Found";
         } else {
-          body = ItemJson(found->first, found->second);
+          body = found->second.mJson;
         }
       } else if (path == "/api/kv-watch") {
         const auto events = Watch(target, aLink.mVm);
@@ -307,7 +320,7 @@
     std::string items;
     for (const auto& [key, item] : mItems) {
       if (key.starts_with(prefix)) {
-        items += (items.empty() ? "" : ",") + ItemJson(key, item);
+        items += (items.empty() ? "" : ",") + item.mJson;
       }
     }
     return "{\"items\":[" + items +
