--- a/review/standin-2/config_storm.cpp
+++ b/review/standin-2/config_storm.cpp
@@ -79,8 +79,10 @@
   std::mutex mutex;
   std::map<std::string, std::string> ranBy; // request: service
   const auto onRun = [&](const Searcher& aSearcher, const Message& aRequest) {
+    const auto id = aRequest.Header("x-request-id");
+    record.Line("run", id, "by", aSearcher.Options().mId);
     const std::lock_guard lock(mutex);
-    ranBy[aRequest.Header("x-request-id")] = aSearcher.Options().mService;
+    ranBy[id] = aSearcher.Options().mService;
   };
   std::vector<std::unique_ptr<Searcher>> searchers;
   for (const std::string service : { "old", "new" }) {
@@ -152,9 +154,11 @@
                               " HTTP/1.1\r\nHost: hufi27.example\r\nX-Request-Id: " + id +
                               "\r\nX-Deadline-Ms: 1200\r\n\r\n") ||
             !connection.Read(answer, 2)) {
+          record.Line("sent", id, "to", machine.mName, "no answer");
           connection.Close();
           continue;
         }
+        record.Line("sent", id, "to", machine.mName, "answered", answer.Status());
         answered += answer.Status() == 200 ? 1 : 0;
         const std::lock_guard lock(mutex);
         if (ranBy[id] == "old" && sentAt > movedAt + kApplyS) {
--- a/review/standin-2/long_header.cpp
+++ b/review/standin-2/long_header.cpp
@@ -35,9 +35,11 @@
 
   std::mutex mutex;
   std::set<std::string> ran;
-  const auto onRun = [&](const Searcher&, const Message& aRequest) {
+  const auto onRun = [&](const Searcher& aSearcher, const Message& aRequest) {
+    const auto id = aRequest.Header("x-request-id");
+    record.Line("run", id, "by", aSearcher.Options().mId);
     const std::lock_guard lock(mutex);
-    ran.insert(aRequest.Header("x-request-id"));
+    ran.insert(id);
   };
   std::vector<std::unique_ptr<Searcher>> searchers;
   for (int i = 0; i < 9; ++i) {
@@ -103,10 +105,12 @@
           const auto id = newId();
           Message answer;
           if (connection.Write(Request(id, "")) && connection.Read(answer, 3.5)) {
+            record.Line("sent", id, "to", machine.mName, "answered", answer.Status());
             answered += answer.Status() == 200 ? 1 : 0;
             ++onConnection;
             continue;
           }
+          record.Line("sent", id, "to", machine.mName, "no answer");
           connection.Close();
           const std::lock_guard lock(mutex);
           if (onConnection > 0 && ran.contains(id)) {
--- a/review/standin-2/relay_freeze.cpp
+++ b/review/standin-2/relay_freeze.cpp
@@ -46,6 +46,7 @@
       sent = sentBy[id];
     }
     if (aSearcher.Options().mId != "i-leaves" || at < removedAt) {
+      record.Line("run", id, "by", aSearcher.Options().mId, "from", sent.first);
       return;
     }
     ++afterRemoval;
@@ -134,8 +135,11 @@
           if (!isSent || !connection.Read(answer, 3)) {
             ++others;
             connection.Close();
+            record.Line("sent", id, "to", machine->Options().mName, "no answer");
           } else {
             ++(answer.Status() == 200 ? answered : others);
+            record.Line("sent", id, "to", machine->Options().mName, "answered",
+                        answer.Status());
           }
         }
       });
