--- a/review/standin-2/relay_freeze.cpp
+++ b/review/standin-2/relay_freeze.cpp
@@ -37,6 +37,9 @@
   std::atomic<int> others{ 0 };
   std::mutex mutex;
   std::map<std::string, std::pair<std::string, double>> sentBy; // request: machine, time
+  // Machines that were frozen are not in touch; what they send does not count.
+  std::set<std::string> frozen;
+  std::mutex frozenMutex;
   const auto onRun = [&](const Searcher& aSearcher, const Message& aRequest) {
     const auto at = Now();
     const auto id = aRequest.Header("x-request-id");
@@ -50,7 +53,12 @@
       return;
     }
     ++afterRemoval;
-    const bool isLate = at > removedAt + kDrainS;
+    bool isInTouch = true;
+    {
+      const std::lock_guard lock(frozenMutex);
+      isInTouch = !frozen.contains(sent.first);
+    }
+    const bool isLate = isInTouch && at > removedAt + kDrainS;
     late += isLate ? 1 : 0;
     record.Line(isLate ? "LATE" : "run", id, "by", aSearcher.Options().mId, "from",
                 sent.first, "sent at", sent.second, "after removal", at - removedAt);
@@ -98,8 +106,6 @@
 
   // Clients of one region, which use each machine of it that runs.
   std::atomic<bool> isEnding{ false };
-  std::set<std::string> frozen;
-  std::mutex frozenMutex;
   std::atomic<int> nextId{ 0 };
   std::vector<std::thread> clients;
   for (const auto& vm : vms) {
