HTTP: fields of 64 KiB and more no longer end the process

Cause: Beast's container of fields holds less than 64 KiB of a value and throws std::length_error for more, inside the parser; no handler catches it. The limit on headers does not bound trailers, so with the standard limits, too, a caller's chunked request or an upstream's answer with a field of 70,000 bytes in its trailer ended the process. The same container held all signatures of a merged answer in one field, and prepare_payload() threw for TRACE with a body and for 204 and 304 with one.

Change: MessageParser, on Beast's basic_parser, keeps the fields in strings and bounds the trailer as the header (431, or no answer from an upstream). RequestHead() and ResponseHead() write the heads and drop fields that frame another message. BudgetedBody and SharedBody have no more users. No step between a socket and HttpRequest or HttpResponse throws because of what a peer has sent.

The new cases of http_test and http_client_test ended the test program by signal 6 with the code before (three cases, one run each).

--- a/src/wasabispar/net/http_client.cpp
+++ b/src/wasabispar/net/http_client.cpp
@@ -2,21 +2,23 @@
 /// @brief Endpoint, HttpConnection and HttpFetch(), on Boost.Beast.
 #include "wasabispar/net/http_client.hpp"
 
-#include "wasabispar/net/budgeted_body.hpp"
-#include "wasabispar/net/shared_body.hpp"
+#include "wasabispar/net/message_head.hpp"
+#include "wasabispar/net/message_parser.hpp"
 
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http.hpp>
+#include <boost/beast/http/read.hpp>
 
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <cerrno>
 #include <charconv>
@@ -66,32 +68,26 @@
   return std::max<Duration>(Duration{}, std::chrono::seconds(seconds) - kKeepAliveMargin);
 }
 
-http::request<SharedBody>
-ToBeast(HttpRequest aRequest, const Endpoint& aEndpoint)
+/// A request that is being written.
+struct OutgoingRequest
 {
-  http::request<SharedBody> message;
-  message.method_string(aRequest.mMethod);
-  message.target(aRequest.mTarget);
-  message.version(11);
-  for (const auto& header : aRequest.mHeaders) {
-    message.insert(header.mName, header.mValue);
-  }
-  if (message[http::field::host].empty()) {
-    message.set(http::field::host, aEndpoint.Text());
+  OutgoingRequest(HttpRequest aRequest, const Endpoint& aEndpoint)
+    : mRequest(std::move(aRequest))
+    , mHead(RequestHead(mRequest, aEndpoint.Text()))
+  {
+    mRequest.mHeaders.clear();
   }
-  if (!aRequest.Body().empty()) {
-    if (!aRequest.mContentType.empty()) {
-      message.set(http::field::content_type, aRequest.mContentType);
-    }
-    auto& body = message.body();
-    body.mText = aRequest.mSharedBody
-                   ? std::move(aRequest.mSharedBody)
-                   : std::make_shared<const std::string>(std::move(aRequest.mBody));
-    body.mReservedMemory = std::move(aRequest.mReservedMemory);
+
+  bool IsHead() const { return mRequest.mMethod == "HEAD"; }
+  std::array<asio::const_buffer, 2> Buffers() const
+  {
+    return { asio::buffer(mHead), asio::buffer(mRequest.Body()) };
   }
-  message.prepare_payload();
-  return message;
-}
+
+  /// Holds the body and its reserved memory; mHead contains the headers.
+  HttpRequest mRequest;
+  std::string mHead;
+};
 
 class HttpConnectionImpl final : public HttpConnection
 {
@@ -157,8 +153,8 @@
   beast::flat_buffer mBuffer;
   /// Null between exchanges, so that an idle connection holds no body. The pending write
   /// shares it.
-  std::shared_ptr<http::request<SharedBody>> mRequest;
-  std::optional<http::response_parser<BudgetedBody>> mParser;
+  std::shared_ptr<const OutgoingRequest> mRequest;
+  std::optional<ResponseParser> mParser;
   /// Bytes read so far that are not part of a body.
   std::uint64_t mOverheadBytes = 0;
   ExchangeFn mDone;
@@ -227,14 +223,13 @@
       EndExchange(HttpExchangeEnd::ConnectFailed, "connection closed by the peer");
       return;
     }
-    mRequest = std::make_shared<http::request<SharedBody>>(
-      ToBeast(std::move(aRequest), mEndpoint));
+    mRequest = std::make_shared<const OutgoingRequest>(std::move(aRequest), mEndpoint);
     mOverheadBytes = 0;
     mIsRequestWritten = false;
     mDeadline = BootClock::now() + aTimeout;
     mStream.expires_after(aTimeout);
-    http::async_write(
-      mStream, *mRequest,
+    asio::async_write(
+      mStream, mRequest->Buffers(),
       [self = Self(), request = mRequest](beast::error_code aError, std::size_t) {
         // After a failed write, a response may still be readable: the peer may have
         // rejected the request before reading all of it.
@@ -247,12 +242,10 @@
 
   void ReadResponse()
   {
-    mParser.emplace();
-    mParser->header_limit(mLimits.mMaxHeaderBytes);
-    mParser->body_limit(mLimits.mMaxBodyBytes);
-    mParser->skip(mRequest->method() == http::verb::head);
+    mParser.emplace(mLimits.mMaxHeaderBytes, mLimits.mMaxBodyBytes);
+    mParser->skip(mRequest->IsHead());
     mIsBodyAdmitted = !mBudget || !mLimits.mWaitsForBudget;
-    mParser->get().body().mReservation = ByteBudget::Reservation(mBudget);
+    mParser->Body().mReservation = ByteBudget::Reservation(mBudget);
     ReadSome();
   }
 
@@ -267,7 +260,7 @@
 
   void OnRead(beast::error_code aError, std::size_t aBytes)
   {
-    auto& body = mParser->get().body();
+    auto& body = mParser->Body();
     const auto bodyBytes = body.mText.size() - body.mCountedBytes;
     body.mCountedBytes = body.mText.size();
     mOverheadBytes += aBytes - std::min(aBytes, bodyBytes);
@@ -295,7 +288,7 @@
     }
     mIsBodyAdmitted = true;
     const auto bytes = mParser->content_length_remaining().value_or(0);
-    auto& reservation = mParser->get().body().mReservation;
+    auto& reservation = mParser->Body().mReservation;
     const bool mayTake = bytes <= kShortBodyBytes || (mBudget->WaitingBytes() == 0 &&
                                                       mBudget->MayReserveAhead(bytes));
     if (bytes > mBudget->Limit()) {
@@ -310,7 +303,7 @@
   /// Reads a body of which @p aBytes are reserved, into a string that does not grow.
   void ReadReserved(std::uint64_t aBytes)
   {
-    auto& text = mParser->get().body().mText;
+    auto& text = mParser->Body().mText;
     text.reserve(text.size() + aBytes);
     ReadSome();
   }
@@ -355,38 +348,36 @@
     }
     mPlace.reset();
     mWaitTimer.cancel();
-    mParser->get().body().mReservation = std::move(aTaken);
+    mParser->Body().mReservation = std::move(aTaken);
     ReadReserved(aBytes);
   }
 
   /// Whether the response is followed by the answer.
-  bool IsInterim() const { return mParser->get().result_int() < 200; }
+  bool IsInterim() const { return mParser->Status() < 200; }
 
   void CompleteExchange()
   {
     mStream.expires_never();
     mRequest = nullptr;
-    auto message = mParser->release();
+    HttpExchangeResult result;
+    result.mEnd = HttpExchangeEnd::Response;
+    auto& response = result.mResponse;
+    response.mStatus = mParser->Status();
+    response.mHeaders = std::move(mParser->Headers());
+    response.mBody = std::move(mParser->Body().mText);
+    if (mLimits.mKeepsReservation) {
+      response.mReservedMemory = std::make_shared<ByteBudget::Reservation>(
+        std::move(mParser->Body().mReservation));
+    }
     mLastUse = BootClock::now();
-    mKeepAliveTimeout = ParseKeepAliveTimeout(message["Keep-Alive"]);
+    mKeepAliveTimeout = ParseKeepAliveTimeout(response.Header("Keep-Alive"));
     // Closes the connection if it must not carry another request: the peer announced a
     // close, sent bytes after the response, or answered before the request was written.
-    if (!message.keep_alive() || mBuffer.size() > 0 || !mIsRequestWritten) {
+    if (!mParser->keep_alive() || mBuffer.size() > 0 || !mIsRequestWritten) {
       mIsUsable = false;
       mStream.close();
     }
-    HttpExchangeResult result;
-    result.mEnd = HttpExchangeEnd::Response;
-    result.mResponse.mStatus = message.result_int();
-    for (const auto& field : message) {
-      result.mResponse.mHeaders.push_back(
-        { std::string(field.name_string()), std::string(field.value()) });
-    }
-    result.mResponse.mBody = std::move(message.body().mText);
-    if (mLimits.mKeepsReservation) {
-      result.mResponse.mReservedMemory =
-        std::make_shared<ByteBudget::Reservation>(std::move(message.body().mReservation));
-    }
+    mParser.reset();
     std::exchange(mDone, nullptr)(std::move(result));
   }
 
--- a/src/wasabispar/net/http_client_test.cpp
+++ b/src/wasabispar/net/http_client_test.cpp
@@ -265,3 +265,19 @@
   }
   CHECK(budget->Reserved() == 0);
 }
+
+/// Guards against a server that ends the process with a field of a trailer that the
+/// container of fields could not hold.
+TEST_CASE("a response whose trailer is longer than a header may be is not an answer")
+{
+  const std::string chunked =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n";
+  std::string trailer = "X-Long: " + std::string(70'000, 'v');
+  SUBCASE("one long value") {}
+  SUBCASE("one long name")
+  {
+    trailer = std::string(70'000, 'n') + ": v";
+  }
+  ScriptedServer server(chunked + trailer + "\r\n\r\n", "");
+  CHECK(Exchange(server).mEnd != HttpExchangeEnd::Response);
+}
--- a/src/wasabispar/net/http_session.cpp
+++ b/src/wasabispar/net/http_session.cpp
@@ -174,9 +174,7 @@
 {
   mReading = true;
   const auto options = mServer->Options();
-  mParser.emplace();
-  mParser->header_limit(static_cast<std::uint32_t>(options.mMaxHeaderBytes));
-  mParser->body_limit(options.mMaxBodyBytes);
+  mParser.emplace(options.mMaxHeaderBytes, options.mMaxBodyBytes);
   mBuffer.max_size(options.mMaxHeaderBytes + kMaxReadBytes);
   mStream.expires_never();
   ArmReadTimer(options.mReadTimeout);
@@ -217,7 +215,7 @@
         self->RejectForMemory();
         return;
       }
-      parser.get().body().mReservation = ByteBudget::Reservation(memory.Requests());
+      parser.Body().mReservation = ByteBudget::Reservation(memory.Requests());
       self->ReadWhole();
     });
 }
@@ -229,7 +227,7 @@
   mReadTimer.cancel();
   if (!aError) {
     Handle();
-  } else if (mParser->get().body().mIsOverBudget) {
+  } else if (mParser->Body().mIsOverBudget) {
     mIsBodyUnread = true;
     RejectForMemory();
   } else {
@@ -343,28 +341,25 @@
   mHandling = true;
   ++mServer->mRunningRequests;
   mStream.expires_never();
-  auto message = mParser->release();
   HttpRequest request;
-  request.mMethod = std::string(message.method_string());
-  request.mTarget = std::string(message.target());
-  for (const auto& field : message) {
-    request.mHeaders.push_back(
-      { std::string(field.name_string()), std::string(field.value()) });
-  }
-  request.mBody = std::move(message.body().mText);
+  request.mMethod = std::move(mParser->Method());
+  request.mTarget = std::move(mParser->Target());
+  request.mHeaders = std::move(mParser->Headers());
+  request.mBody = std::move(mParser->Body().mText);
   if (mServer->mMemory) {
     request.mReservedMemory =
-      std::make_shared<ByteBudget::Reservation>(std::move(message.body().mReservation));
+      std::make_shared<ByteBudget::Reservation>(std::move(mParser->Body().mReservation));
   }
   request.mContentType.clear();
   request.mPeer = mPeer;
   request.mDisconnectNotifier = mDisconnectNotifier =
     std::make_shared<DisconnectNotifier>();
+  auto responder = MakeResponder(mParser->Version(), mParser->keep_alive());
+  mParser.reset();
   if (mBuffer.size() == 0) {
     AwaitBytes();
   }
-  mServer->mHandler(std::move(request),
-                    MakeResponder(message.version(), message.keep_alive()));
+  mServer->mHandler(std::move(request), std::move(responder));
 }
 
 void
--- a/src/wasabispar/net/http_session.hpp
+++ b/src/wasabispar/net/http_session.hpp
@@ -2,17 +2,16 @@
 /// @brief One connection of HttpServer.
 #pragma once
 
-#include "wasabispar/net/budgeted_body.hpp"
 #include "wasabispar/net/http_server_state.hpp"
+#include "wasabispar/net/message_head.hpp"
+#include "wasabispar/net/message_parser.hpp"
 
 #include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/buffers_suffix.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/message.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/serializer.hpp>
-#include <boost/beast/http/string_body.hpp>
 
+#include <array>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -44,36 +43,49 @@
 
 private:
   using ErrorCode = boost::beast::error_code;
-  using Message = boost::beast::http::response<boost::beast::http::string_body>;
 
   /// Sends the response of one request. Closes the connection if destroyed before a
   /// response was sent.
   class Responder;
 
-  /// A response that is being written within a memory budget.
+  /// A response that is being written.
   struct PendingWrite
   {
-    explicit PendingWrite(std::shared_ptr<Message> aMessage)
-      : mMessage(std::move(aMessage))
-      , mSerializer(*mMessage)
+    using Buffers = std::array<boost::asio::const_buffer, 2>;
+
+    PendingWrite(HttpResponse aResponse, unsigned aHttpVersion, bool aKeepAlive)
+      : mHead(ResponseHead(aResponse, aHttpVersion, aKeepAlive))
+      , mBody(MayHaveBody(aResponse.mStatus) ? std::move(aResponse.mBody) : std::string())
+      , mRest(Buffers{ boost::asio::buffer(mHead), boost::asio::buffer(mBody) })
+      , mReservedMemory(std::move(aResponse.mReservedMemory))
+      , mBytes(mHead.size() + mBody.size())
+      , mKeepAlive(aKeepAlive)
     {
     }
 
-    std::shared_ptr<Message> mMessage;
-    boost::beast::http::response_serializer<boost::beast::http::string_body> mSerializer;
+    PendingWrite(const PendingWrite&) = delete;
+    PendingWrite& operator=(const PendingWrite&) = delete;
+
+    bool IsDone() const { return mWrittenBytes == mBytes; }
+
+    std::string mHead;
+    std::string mBody;
+    /// What of mHead and mBody has not been written yet.
+    boost::beast::buffers_suffix<Buffers> mRest;
     /// Of the answer that is passed on; null from the time at which the response counts
     /// as waiting.
     std::shared_ptr<const void> mReservedMemory;
-    /// Bytes of the header and the body.
+    /// Bytes of the head and the body.
     std::uint64_t mBytes = 0;
     std::uint64_t mWrittenBytes = 0;
     TimePoint mLastProgress{};
+    bool mKeepAlive = false;
   };
 
   std::shared_ptr<HttpServer::State> mServer;
   boost::beast::tcp_stream mStream;
   boost::beast::flat_buffer mBuffer;
-  std::optional<boost::beast::http::request_parser<BudgetedBody>> mParser;
+  std::optional<RequestParser> mParser;
   boost::asio::steady_timer mIdleTimer;
   /// Bounds the time to read a request. The timeout of mStream is not used for it,
   /// because it closes the connection before the rejection can be reported.
--- a/src/wasabispar/net/http_session_write.cpp
+++ b/src/wasabispar/net/http_session_write.cpp
@@ -2,7 +2,7 @@
 /// @brief HttpSession: writes responses, within the memory budget if there is one.
 #include "wasabispar/net/http_session.hpp"
 
-#include <boost/beast/http/write.hpp>
+#include <boost/asio/write.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -11,7 +11,6 @@
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
-namespace http = boost::beast::http;
 using boost::asio::ip::tcp;
 
 namespace {
@@ -21,16 +20,6 @@
 constexpr auto kDiscardTime = std::chrono::seconds(2);
 constexpr std::size_t kDiscardChunkBytes = 4096;
 
-std::uint64_t
-HeaderBytes(const HttpResponse& aResponse)
-{
-  std::uint64_t bytes = 0;
-  for (const auto& header : aResponse.mHeaders) {
-    bytes += header.mName.size() + header.mValue.size();
-  }
-  return bytes;
-}
-
 } // namespace
 
 void
@@ -41,30 +30,19 @@
     FinishResponse(false);
     return;
   }
-  auto message =
-    std::make_shared<Message>(static_cast<http::status>(aResponse.mStatus), aHttpVersion);
-  if (!aResponse.mContentType.empty()) {
-    message->set(http::field::content_type, aResponse.mContentType);
-  }
-  for (const auto& header : aResponse.mHeaders) {
-    message->insert(header.mName, header.mValue);
-  }
-  message->keep_alive(aKeepAlive && !aResponse.mCloseConnection && !mServer->mDraining);
-  const auto headerBytes = HeaderBytes(aResponse);
-  message->body() = std::move(aResponse.mBody);
-  message->prepare_payload();
+  const bool keepsOpen = aKeepAlive && !aResponse.mCloseConnection && !mServer->mDraining;
+  auto write =
+    std::make_shared<PendingWrite>(std::move(aResponse), aHttpVersion, keepsOpen);
   if (mServer->mMemory) {
-    mPendingWrite = std::make_shared<PendingWrite>(std::move(message));
-    mPendingWrite->mReservedMemory = std::move(aResponse.mReservedMemory);
-    mPendingWrite->mBytes = mPendingWrite->mMessage->body().size() + headerBytes;
+    mPendingWrite = std::move(write);
     WriteWithinBudget();
     return;
   }
   mStream.expires_after(mServer->Options().mReadTimeout);
-  http::async_write(
-    mStream, *message,
-    [self = shared_from_this(), message](beast::error_code aError, std::size_t) {
-      self->FinishResponse(!aError && message->keep_alive());
+  asio::async_write(
+    mStream, write->mRest,
+    [self = shared_from_this(), write](beast::error_code aError, std::size_t) {
+      self->FinishResponse(!aError && write->mKeepAlive);
     });
 }
 
@@ -82,11 +60,11 @@
 void
 HttpSession::WriteSome()
 {
-  http::async_write_some(mStream, mPendingWrite->mSerializer,
-                         [self = shared_from_this(), write = mPendingWrite](
-                           beast::error_code aError, std::size_t aBytes) {
-                           self->OnWritten(*write, aError, aBytes);
-                         });
+  mStream.async_write_some(mPendingWrite->mRest,
+                           [self = shared_from_this(), write = mPendingWrite](
+                             beast::error_code aError, std::size_t aBytes) {
+                             self->OnWritten(*write, aError, aBytes);
+                           });
 }
 
 void
@@ -94,11 +72,12 @@
 {
   // The connection may have been reset after the socket had taken these bytes.
   const bool isReset = mPendingWrite.get() != &aWrite;
-  if (aError || isReset || aWrite.mSerializer.is_done()) {
-    FinishResponse(!aError && !isReset && aWrite.mMessage->keep_alive());
+  aWrite.mWrittenBytes += aBytes;
+  aWrite.mRest.consume(aBytes);
+  if (aError || isReset || aWrite.IsDone()) {
+    FinishResponse(!aError && !isReset && aWrite.mKeepAlive);
     return;
   }
-  aWrite.mWrittenBytes += aBytes;
   aWrite.mLastProgress = BootClock::now();
   ArmWriteTimer();
   if (mServer->mWaitingSessions.Contains(this)) {
--- a/src/wasabispar/net/http_test.cpp
+++ b/src/wasabispar/net/http_test.cpp
@@ -345,3 +345,63 @@
   deferredRespond(HttpResponse{});
   CHECK(status.get_future().get() == HttpExchangeEnd::Response);
 }
+
+/// Guards against a caller or an upstream that ends the process with a field that the
+/// limits allow: the container of fields held less than 64 KiB of a value.
+TEST_CASE("header values of 64 KiB and more are received and sent unchanged")
+{
+  Worker worker;
+  HttpServerOptions options;
+  options.mMaxHeaderBytes = 128 * 1024;
+  HttpServer server(
+    { &worker.mContext }, options,
+    [](const HttpRequest& aRequest, const HttpRespondFn& aRespond) {
+      HttpResponse response;
+      response.mHeaders = { { "X-Back", std::string(aRequest.Header("X-Long")) } };
+      aRespond(std::move(response));
+    });
+  REQUIRE(server.Start());
+  for (const std::size_t bytes : { 65'000, 65'534, 65'535, 65'536, 70'000, 130'000 }) {
+    CAPTURE(bytes);
+    const std::string value(bytes, 'v');
+    HttpRequest request;
+    request.mHeaders = { { "X-Long", value } };
+    HttpResponseLimits limits;
+    limits.mMaxHeaderBytes = 128 * 1024;
+    std::promise<HttpExchangeResult> promise;
+    HttpFetch(
+      worker.mContext, { "127.0.0.1", server.Port() }, request, 5s,
+      [&](HttpExchangeResult aResult) { promise.set_value(std::move(aResult)); }, limits);
+    const auto result = promise.get_future().get();
+    REQUIRE(result.mEnd == HttpExchangeEnd::Response);
+    CHECK(result.mResponse.Header("X-Back") == value);
+  }
+}
+
+/// Guards against a caller that ends the process with a trailer, which the limit on
+/// headers did not bound.
+TEST_CASE("a request whose trailer is longer than a header may be is rejected")
+{
+  Worker worker;
+  HttpServer server({ &worker.mContext }, {},
+                    [](HttpRequest, HttpRespondFn aRespond) { aRespond({}); });
+  REQUIRE(server.Start());
+  const std::string chunked =
+    "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n";
+  std::string trailer = "X-Long: " + std::string(70'000, 'v') + "\r\n";
+  SUBCASE("one long value") {}
+  SUBCASE("one long name")
+  {
+    trailer = std::string(70'000, 'n') + ": v\r\n";
+  }
+  SUBCASE("many fields")
+  {
+    trailer.clear();
+    for (int i = 0; i < 900; ++i) {
+      trailer += "X-Short: v\r\n";
+    }
+  }
+  CHECK(SendRaw(server.Port(), chunked + trailer + "\r\n").find("431") !=
+        std::string::npos);
+  CHECK(Fetch(worker, server.Port(), {}).mEnd == HttpExchangeEnd::Response);
+}
