HTTP client: a status that HTTP does not define is no answer

Cause: each status below 200 was taken for an interim response, which the answer follows, and each other one for an answer. After 000 the next bytes on the connection counted as the answer to the request.

Change: ResponseParser ends with an error for a status outside of 100 to 599 (RFC 9110, 15). The answer is lost, the connection closed: the request may have run, so it is repeated only if it may be, answered with 502 otherwise, and never called not run. The parser also reads the answers of the store and relays.

--- a/include/wasabispar/net/message_parser.hpp
+++ b/include/wasabispar/net/message_parser.hpp
@@ -147,20 +147,30 @@
 public:
   using MessageParser::MessageParser;
 
-  /// @brief Three digits, which need not be a status that HTTP defines.
+  /// @brief The status code; valid once the header is complete. Reading ends with
+  /// `bad_status` if it is outside of 100 to 599, the range that RFC 9110 defines.
   unsigned Status() const { return mStatus; }
+  /// @brief Whether the response is followed by the answer.
+  bool IsInterim() const { return mStatus < kFirstFinalStatus; }
 
 private:
   // NOLINTBEGIN(readability-identifier-naming)
   void on_request_impl(boost::beast::http::verb, Text, Text, int, ErrorCode&) override {}
 
-  void on_response_impl(int aStatus, Text, int aVersion, ErrorCode&) override
+  void on_response_impl(int aStatus, Text, int aVersion, ErrorCode& aError) override
   {
     mStatus = static_cast<unsigned>(aStatus);
     SetVersion(aVersion);
+    if (mStatus < kFirstStatus || mStatus > kLastStatus) {
+      aError = boost::beast::http::error::bad_status;
+    }
   }
   // NOLINTEND(readability-identifier-naming)
 
+  static constexpr unsigned kFirstStatus = 100;
+  static constexpr unsigned kFirstFinalStatus = 200;
+  static constexpr unsigned kLastStatus = 599;
+
   unsigned mStatus = 0;
 };
 
--- a/src/wasabispar/net/http_client.cpp
+++ b/src/wasabispar/net/http_client.cpp
@@ -272,7 +272,7 @@
       EndExchange(HttpExchangeEnd::ConnectionLost, "too many bytes beside the body");
     } else if (!mParser->is_done()) {
       ReadAdmitted();
-    } else if (IsInterim()) {
+    } else if (mParser->IsInterim()) {
       ReadResponse();
     } else {
       CompleteExchange();
@@ -352,9 +352,6 @@
     ReadReserved(aBytes);
   }
 
-  /// Whether the response is followed by the answer.
-  bool IsInterim() const { return mParser->Status() < 200; }
-
   void CompleteExchange()
   {
     mStream.expires_never();
--- a/src/wasabispar/net/http_client_test.cpp
+++ b/src/wasabispar/net/http_client_test.cpp
@@ -281,3 +281,16 @@
   ScriptedServer server(chunked + trailer + "\r\n\r\n", "");
   CHECK(Exchange(server).mEnd != HttpExchangeEnd::Response);
 }
+
+/// Guards against an answer to another request: a status below 100 was taken for an
+/// interim response, and the bytes after it for the answer.
+TEST_CASE("a response whose status HTTP does not define is not an answer")
+{
+  const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  for (const std::string status : { "000", "001", "099", "600", "999" }) {
+    CAPTURE(status);
+    ScriptedServer server(
+      "HTTP/1.1 " + status + " Odd\r\nContent-Length: 2\r\n\r\nno" + answer, "");
+    CHECK(Exchange(server).mEnd == HttpExchangeEnd::ConnectionLost);
+  }
+}
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -245,6 +245,11 @@
     case FakeBehaviour::Silent:
       break;
   }
+  if (!mStatusText.empty()) {
+    constexpr std::size_t kStatusAt = std::string_view("HTTP/1.1 ").size();
+    aExchange->RespondRaw(ToBytes(response).replace(kStatusAt, 3, mStatusText), true);
+    return;
+  }
   aExchange->Respond(std::move(response));
 }
 
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -71,6 +71,9 @@
   /// A request with this path ends the upstream's process before any answer, as Kill()
   /// does; empty: no request does.
   std::string mCrashPath;
+  /// Sent in place of the status of each answer; empty: the status is that of the
+  /// answer.
+  std::string mStatusText;
   /// Further headers of each answer.
   std::vector<HttpHeader> mExtraHeaders;
   /// Time from a request to its answer.
