HTTP server: TRACE with a body is rejected

RFC 9110, 9.3.8 forbids content in TRACE, so an upstream may take the body for the next request (UNASKED). The server answers 400 and closes the connection; TRACE without a body is passed on as before.

"TRACE with a body is rejected" failed without this change (the request reached the handler) and passes now.

--- a/src/wasabispar/net/http_session.cpp
+++ b/src/wasabispar/net/http_session.cpp
@@ -225,7 +225,9 @@
 {
   mReading = false;
   mReadTimer.cancel();
-  if (!aError) {
+  if (!aError && IsTraceWithContent()) {
+    RejectRequest(http::error::unexpected_body);
+  } else if (!aError) {
     Handle();
   } else if (mParser->Body().mIsOverBudget) {
     mIsBodyUnread = true;
@@ -235,6 +237,12 @@
   }
 }
 
+bool
+HttpSession::IsTraceWithContent()
+{
+  return mParser->Method() == "TRACE" && !mParser->Body().mText.empty();
+}
+
 void
 HttpSession::ArmReadTimer(Duration aTimeout)
 {
--- a/src/wasabispar/net/http_session.hpp
+++ b/src/wasabispar/net/http_session.hpp
@@ -130,6 +130,9 @@
   /// Reads the header, and the body if the memory budget admits the request.
   void ReadWithinBudget();
   void OnRead(ErrorCode aError);
+  /// Whether the request that was read is one of TRACE with a body. RFC 9110, 9.3.8
+  /// forbids it, so an upstream may take its body for the next request.
+  bool IsTraceWithContent();
   /// Reports the request that is being read and closes the connection after @p aTimeout,
   /// unless the request is complete by then.
   void ArmReadTimer(Duration aTimeout);
--- a/src/wasabispar/net/http_test.cpp
+++ b/src/wasabispar/net/http_test.cpp
@@ -405,3 +405,29 @@
         std::string::npos);
   CHECK(Fetch(worker, server.Port(), {}).mEnd == HttpExchangeEnd::Response);
 }
+
+/// Guards against a request that ends the process when it is sent on, or whose body an
+/// upstream runs as a request.
+TEST_CASE("TRACE with a body is rejected")
+{
+  Worker worker;
+  std::atomic<int> handled = 0;
+  HttpServer server({ &worker.mContext }, {},
+                    [&handled](HttpRequest, HttpRespondFn aRespond) {
+                      ++handled;
+                      aRespond({});
+                    });
+  REQUIRE(server.Start());
+  const std::string start = "TRACE / HTTP/1.1\r\n";
+  CHECK(SendRaw(server.Port(), start + "Content-Length: 2\r\n\r\nno").find("400") !=
+        std::string::npos);
+  CHECK(SendRaw(server.Port(),
+                start + "Transfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n")
+          .find("400") != std::string::npos);
+  CHECK(handled == 0);
+  HttpRequest request{ "TRACE", "/", {}, "", {} };
+  CHECK(Fetch(worker, server.Port(), request).mResponse.mStatus == 200);
+  // The client does not throw, either.
+  request.mBody = "no";
+  CHECK(Fetch(worker, server.Port(), request).mResponse.mStatus == 400);
+}
