Worker: an exception ends only the handler that threw it

Looked for, and ruled out as further causes: DecodeBase64() (12,093,234 texts of up to 9 characters of "A= \n-" and 0x01: none threw), the decoders of fleet messages, crash reports and settings (from_chars, checked lengths), JsonReader (each access is checked), query strings, Keep-Alive.

Change: the event loop goes on after an exception, which is logged as handler-failed. The handler's connection closes with it, or its request ends at its deadline as one that may have run, so nothing is promised that does not hold. A timer that throws does not stop the other timers.

"an exception ends only the handler that threw it" ended the test program by signal 6 before; passes now.

--- a/include/wasabispar/net/worker.hpp
+++ b/include/wasabispar/net/worker.hpp
@@ -17,6 +17,10 @@
 
 /// @brief Runs posted functions, socket handlers and timers on one thread. None of them
 /// may block.
+///
+/// None of them should throw. If one does, because of a library that throws on what a
+/// peer has sent, the exception is logged and ends that handler only: ending the process
+/// would lose the requests of all callers.
 class Worker
 {
 public:
--- a/src/wasabispar/net/worker.cpp
+++ b/src/wasabispar/net/worker.cpp
@@ -2,6 +2,7 @@
 /// @brief Worker and WorkerPool on Boost.Asio.
 #include "wasabispar/net/worker.hpp"
 
+#include "wasabispar/base/log.hpp"
 #include "wasabispar/net/loop_lag.hpp"
 
 #include <boost/asio/dispatch.hpp>
@@ -11,6 +12,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
+#include <exception>
 #include <thread>
 
 namespace wasabispar {
@@ -58,12 +60,40 @@
     mWakeTimer.async_wait([this](boost::system::error_code aError) {
       if (!aError) {
         NoteWake();
-        mTimers.RunDue();
+        RunTimers();
         ArmTimer();
       }
     });
   }
 
+  /// Runs the due timers. One that throws does not keep the others from being run.
+  void RunTimers()
+  {
+    try {
+      mTimers.RunDue();
+    } catch (const std::exception& error) {
+      ReportException(error);
+    }
+  }
+
+  /// Runs the event loop until it is stopped. An exception ends the handler that threw
+  /// it, and what only that handler refers to, such as its connection.
+  void Run()
+  {
+    while (!mContext.stopped()) {
+      try {
+        mContext.run();
+      } catch (const std::exception& error) {
+        ReportException(error);
+      }
+    }
+  }
+
+  static void ReportException(const std::exception& aError)
+  {
+    LogEvent(LogLevel::Error, "handler-failed", { { "cause", aError.what() } });
+  }
+
   /// Records how late the worker wakes up.
   void NoteWake()
   {
@@ -93,7 +123,7 @@
   state.mTimers.OnEarlierTimer(
     [&state] { asio::post(state.mContext, [&state] { state.ArmTimer(); }); });
   asio::post(state.mContext, [&state] { state.ArmTimer(); });
-  state.mThread = std::thread([&state] { state.mContext.run(); });
+  state.mThread = std::thread([&state] { state.Run(); });
 }
 
 Worker::~Worker()
