Upstream directory: entries are ordered by era and revision

Cause: UpstreamDirectory compared revisions of two eras. An upstream whose entry had changed after the copy was made kept its old state until the store's revision had passed that of the change, also against a full read.

Ruled out: the watch and the reader, which had read everything again after a 410.

Change: the directory takes positions (era, then revision). In the first full read of an era, an entry that its incarnation has not counted beyond (sequence) may be older than what is known: it neither ends a draining, nor renews a warm-up time, nor undoes a removal. An entry whose removal is known is held back, and used after 10 s if it has not lapsed. This works because events of the new era are all written in it, and the count of an incarnation orders its own writes across eras. An event at the position of the last one is the same event, and is ignored.

--- a/src/wasabispar/routing/upstream_directory.cpp
+++ b/src/wasabispar/routing/upstream_directory.cpp
@@ -15,6 +15,10 @@
 constexpr Duration kReregistrationGrace = std::chrono::milliseconds(2200);
 /// Time for which a tombstone is kept. An event that arrives later is taken as new.
 constexpr Duration kTombstoneRetention = std::chrono::seconds(60);
+/// An entry lapses after three missed heartbeats, which are about a second apart. One
+/// that is still in the registry after this time belongs to a running upstream.
+constexpr Duration kLapseTime = std::chrono::seconds(10);
+static_assert(kLapseTime < kTombstoneRetention);
 /// Time for which the announcement of an upstream is kept that is not in the directory.
 constexpr Duration kAnnouncementRetention = std::chrono::minutes(10);
 /// Removals at once are deferred when there are more than the threshold and more than all
@@ -52,17 +56,21 @@
 } // namespace
 
 UpstreamDirectory::Changes
-UpstreamDirectory::Upsert(const UpstreamRecord& aRecord, Revision aRevision)
+UpstreamDirectory::Upsert(const RegistryEntry& aEntry)
 {
-  auto& last = mLastEvents[aRecord.mId];
-  const auto existing = mUpstreams.find(aRecord.mId);
-  if (aRevision < last.mRevision ||
-      (existing != mUpstreams.end() && IsOlderIncarnation(aRecord, existing->second))) {
+  const auto& id = aEntry.mRecord.mId;
+  const auto existing = mUpstreams.find(id);
+  const auto known = mLastEvents.find(id);
+  const bool isKnown =
+    known != mLastEvents.end() && aEntry.mPosition <= known->second.mPosition;
+  if (isKnown || (existing != mUpstreams.end() &&
+                  IsOlderIncarnation(aEntry.mRecord, existing->second))) {
     return {};
   }
-  last = { aRevision, {} };
-  mPendingRemovals.erase(aRecord.mId);
-  const auto record = WithAnnouncement(aRecord);
+  mLastEvents[id] = { aEntry.mPosition, aEntry.mSequence, {} };
+  mPendingRemovals.erase(id);
+  mHeldEntries.erase(id);
+  const auto record = WithAnnouncement(aEntry.mRecord);
   if (existing == mUpstreams.end()) {
     mUpstreams.emplace(record.mId, record);
     return { { UpstreamChange::Kind::Added, record } };
@@ -75,6 +83,56 @@
   return { { kind, record } };
 }
 
+UpstreamDirectory::Changes
+UpstreamDirectory::ApplyRead(const RegistryEntry& aEntry, TimePoint aNow)
+{
+  if (!MayBeOutdated(aEntry)) {
+    return Upsert(aEntry);
+  }
+  const auto& id = aEntry.mRecord.mId;
+  if (IsRemovalKnown(id)) {
+    mHeldEntries.try_emplace(id, HeldEntry{ aEntry, aNow + kLapseTime });
+    return {};
+  }
+  const auto& known = mUpstreams.at(id);
+  auto entry = aEntry;
+  entry.mSequence = std::max(entry.mSequence, mLastEvents[id].mSequence);
+  entry.mRecord.mWarmup = known.mWarmup;
+  if (known.mState == UpstreamState::Draining) {
+    entry.mRecord.mState = UpstreamState::Draining;
+  }
+  return Upsert(entry);
+}
+
+bool
+UpstreamDirectory::MayBeOutdated(const RegistryEntry& aEntry) const
+{
+  const auto last = mLastEvents.find(aEntry.mRecord.mId);
+  const auto* record = LastRecord(aEntry.mRecord.mId);
+  if (!record || aEntry.mPosition.mEra == last->second.mPosition.mEra) {
+    return false;
+  }
+  return IsOlderIncarnation(aEntry.mRecord, *record) ||
+         (IsSameIncarnation(aEntry.mRecord, *record) &&
+          aEntry.mSequence <= last->second.mSequence);
+}
+
+const UpstreamRecord*
+UpstreamDirectory::LastRecord(const UpstreamId& aId) const
+{
+  if (const auto existing = mUpstreams.find(aId); existing != mUpstreams.end()) {
+    return &existing->second;
+  }
+  const auto last = mLastEvents.find(aId);
+  return last == mLastEvents.end() ? nullptr : &last->second.mRemoved;
+}
+
+bool
+UpstreamDirectory::IsRemovalKnown(const UpstreamId& aId) const
+{
+  return !mUpstreams.contains(aId) || mPendingRemovals.contains(aId);
+}
+
 UpstreamRecord
 UpstreamDirectory::WithAnnouncement(UpstreamRecord aRecord) const
 {
@@ -107,7 +165,7 @@
 {
   const auto last = mLastEvents.find(aRemoval.mId);
   return mUpstreams.contains(aRemoval.mId) && last != mLastEvents.end() &&
-         aRemoval.mRevision >= last->second.mRevision;
+         aRemoval.mPosition >= last->second.mPosition;
 }
 
 UpstreamDirectory::Changes
@@ -127,12 +185,15 @@
   const bool mustDefer =
     aNow < graceEnd && MustDeferRemovals(static_cast<std::size_t>(abruptCount), aNow);
   Changes changes;
+  for (const auto& removal : aRemovals) {
+    mHeldEntries.erase(removal.mId);
+  }
   for (const auto& removal : inEffect) {
     const auto existing = mUpstreams.find(removal.mId);
     if (existing == mUpstreams.end()) {
       continue;
     }
-    mLastEvents[removal.mId].mRevision = removal.mRevision;
+    mLastEvents[removal.mId].mPosition = removal.mPosition;
     if (mustDefer && existing->second.mState == UpstreamState::Serving) {
       mPendingRemovals.try_emplace(removal.mId, graceEnd);
     } else {
@@ -144,19 +205,22 @@
 
 UpstreamDirectory::Changes
 UpstreamDirectory::ReplaceAll(const std::vector<RegistryEntry>& aEntries,
-                              Revision aRevision, TimePoint aSince, TimePoint aNow)
+                              const RegistryPosition& aPosition, TimePoint aSince,
+                              TimePoint aNow)
 {
   Changes changes;
   std::set<UpstreamId> present;
   for (const auto& entry : aEntries) {
     present.insert(entry.mRecord.mId);
-    const auto applied = Upsert(entry.mRecord, entry.mRevision);
+    const auto applied = ApplyRead(entry, aNow);
     changes.insert(changes.end(), applied.begin(), applied.end());
   }
+  std::erase_if(mHeldEntries,
+                [&present](const auto& aItem) { return !present.contains(aItem.first); });
   std::vector<RegistryRemoval> missing;
   for (const auto& [id, record] : mUpstreams) {
     if (!present.contains(id)) {
-      missing.push_back({ id, aRevision });
+      missing.push_back({ id, aPosition });
     }
   }
   const auto removed = Remove(missing, aSince, aNow);
@@ -182,6 +246,15 @@
       Erase(id, aNow, changes);
     }
   }
+  for (auto next = mHeldEntries.begin(); next != mHeldEntries.end();) {
+    // Upsert() invalidates the iterator.
+    const auto current = next++;
+    if (current->second.mUsedAt <= aNow) {
+      const auto entry = current->second.mEntry;
+      const auto applied = Upsert(entry);
+      changes.insert(changes.end(), applied.begin(), applied.end());
+    }
+  }
   std::erase_if(mLastEvents, [aNow](const auto& aItem) {
     const auto& removed = aItem.second.mRemovedAt;
     return removed && aNow - *removed > kTombstoneRetention;
@@ -217,8 +290,10 @@
 void
 UpstreamDirectory::Erase(const UpstreamId& aId, TimePoint aNow, Changes& aChanges)
 {
-  mLastEvents[aId].mRemovedAt = aNow;
   const auto existing = mUpstreams.find(aId);
+  auto& last = mLastEvents[aId];
+  last.mRemovedAt = aNow;
+  last.mRemoved = existing->second;
   aChanges.push_back({ UpstreamChange::Kind::Removed, existing->second });
   mUpstreams.erase(existing);
   mPendingRemovals.erase(aId);
--- a/tests/gateway/cold_test.cpp
+++ b/tests/gateway/cold_test.cpp
@@ -35,7 +35,9 @@
   /// Writes an entry that says that the upstream is cold.
   void MakeCold(FakeUpstream& aUpstream, std::uint64_t aRevision = 100)
   {
-    OnWorker([&] { aUpstream.mWarmup = WarmupNotice{ 20s, Revision(aRevision) }; });
+    OnWorker([&] {
+      aUpstream.mWarmup = WarmupNotice{ 20s, { RegistryEra(), Revision(aRevision) } };
+    });
     WriteAgain(aUpstream, "s");
   }
 
@@ -134,7 +136,7 @@
   SetRoutes({ route }, kBound);
   const VmId self("a");
   SetRateShare(std::make_shared<FleetRateShare>(self, std::vector{ self, VmId("b") }));
-  upstream.mWarmup = WarmupNotice{ 20s, Revision(100) };
+  upstream.mWarmup = WarmupNotice{ 20s, { RegistryEra(), Revision(100) } };
   // All requests are chosen before the worker sees an open connection.
   GatewayWorker().Post([] { std::this_thread::sleep_for(50ms); });
   std::vector<std::future<GatewayAnswer>> futures;
@@ -223,11 +225,15 @@
 /// revision of its entry differs.
 TEST_CASE_FIXTURE(ColdFixture, "an entry that is written again counts again")
 {
-  OnWorker([this] { mFirst.mWarmup = WarmupNotice{ 400ms, Revision(5) }; });
+  OnWorker([this] {
+    mFirst.mWarmup = WarmupNotice{ 400ms, { RegistryEra(), Revision(5) } };
+  });
   WriteAgain(mFirst, "s");
   std::this_thread::sleep_for(450ms);
   MakeCold(mSecond);
-  OnWorker([this] { mFirst.mWarmup = WarmupNotice{ 400ms, Revision(6) }; });
+  OnWorker([this] {
+    mFirst.mWarmup = WarmupNotice{ 400ms, { RegistryEra(), Revision(6) } };
+  });
   SetRateShare(nullptr);
   CHECK(SendAndWait("/read/1").mResponse.mStatus == 200);
   WriteAgain(mFirst, "s");
@@ -363,7 +369,7 @@
   {
     pool.Add(0);
     auto record = pool.Choose().mReplica->mRecord;
-    record.mWarmup = WarmupNotice{ 20s, Revision(7) };
+    record.mWarmup = WarmupNotice{ 20s, { RegistryEra(), Revision(7) } };
     std::ignore = pool.mPool.OnChange({ UpstreamChange::Kind::Updated, record });
   }
   SUBCASE("evacuation")
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -315,8 +315,8 @@
   OnWorker([&] {
     mUpstreams.push_back(std::make_unique<FakeUpstream>(mWorker, aId));
     mUpstreams.back()->mDataCentre = aDataCentre;
-    mGateway->OnUpstreamChanges(
-      mDirectory.Upsert(mUpstreams.back()->Record(aService), Revision(++mRevision)));
+    mGateway->OnUpstreamChanges(mDirectory.Upsert(
+      { mUpstreams.back()->Record(aService), { RegistryEra(), Revision(++mRevision) } }));
   });
   return *mUpstreams.back();
 }
@@ -325,8 +325,8 @@
 GatewayFixture::WriteAgain(const FakeUpstream& aUpstream, const std::string& aService)
 {
   OnWorker([&] {
-    mGateway->OnUpstreamChanges(
-      mDirectory.Upsert(aUpstream.Record(aService), Revision(++mRevision)));
+    mGateway->OnUpstreamChanges(mDirectory.Upsert(
+      { aUpstream.Record(aService), { RegistryEra(), Revision(++mRevision) } }));
   });
 }
 
