Evacuations: written and removed keys are ordered by era and revision

After the store's return from a copy it ignored an evacuation, or the end of one, whose revision had been given out before. A full read that was newer by its revision ended an evacuation which the copy lacked, until the operator wrote it again.

Change: positions in place of revisions. An evacuation of an older era that a full read lacks stays in force until its key is written or removed in the new one: it errs towards sending nothing. Tests give positions where they gave revisions.

--- a/src/wasabispar/routing/evacuation.cpp
+++ b/src/wasabispar/routing/evacuation.cpp
@@ -7,55 +7,61 @@
 namespace wasabispar {
 
 bool
-EvacuationState::OnWritten(const DataCentreId& aDataCentre, Revision aRevision)
+EvacuationState::OnWritten(const DataCentreId& aDataCentre,
+                           const RegistryPosition& aPosition)
 {
-  return Apply(aDataCentre, aRevision, true);
+  return Apply(aDataCentre, aPosition, true);
 }
 
 bool
-EvacuationState::OnRemoved(const DataCentreId& aDataCentre, Revision aRevision)
+EvacuationState::OnRemoved(const DataCentreId& aDataCentre,
+                           const RegistryPosition& aPosition)
 {
-  return Apply(aDataCentre, aRevision, false);
+  return Apply(aDataCentre, aPosition, false);
 }
 
 bool
-EvacuationState::Apply(const DataCentreId& aDataCentre, Revision aRevision,
+EvacuationState::Apply(const DataCentreId& aDataCentre, const RegistryPosition& aPosition,
                        bool aIsEvacuated)
 {
   const auto last = mLastEvents.find(aDataCentre);
   const auto known =
-    last == mLastEvents.end() ? mReadRevision : std::max(mReadRevision, last->second);
-  if (aRevision <= known) {
+    last == mLastEvents.end() ? mReadPosition : std::max(mReadPosition, last->second);
+  if (aPosition <= known) {
     return false;
   }
-  mLastEvents[aDataCentre] = aRevision;
+  mLastEvents[aDataCentre] = aPosition;
   return aIsEvacuated ? mEffective.insert(aDataCentre).second
                       : mEffective.erase(aDataCentre) > 0;
 }
 
 bool
-EvacuationState::OnFullRead(const std::map<DataCentreId, Revision>& aWritten,
-                            Revision aRevision)
+EvacuationState::OnFullRead(const std::map<DataCentreId, RegistryPosition>& aWritten,
+                            const RegistryPosition& aPosition)
 {
   const auto before = mEffective;
   // What the read contradicts or repeats; newer events stay.
   std::erase_if(mLastEvents, [&](const auto& aEvent) {
-    const bool isKnown = aEvent.second <= aRevision && !aWritten.contains(aEvent.first);
+    const auto& [dataCentre, position] = aEvent;
+    const bool mayBeLost =
+      position.mEra < aPosition.mEra && mEffective.contains(dataCentre);
+    const bool isKnown =
+      position <= aPosition && !aWritten.contains(dataCentre) && !mayBeLost;
     if (isKnown) {
-      mEffective.erase(aEvent.first);
+      mEffective.erase(dataCentre);
     }
     return isKnown;
   });
-  for (const auto& [dataCentre, revision] : aWritten) {
+  for (const auto& [dataCentre, position] : aWritten) {
     auto& last = mLastEvents[dataCentre];
-    // An equal revision is the same event. An older one comes from a page that lags
+    // An equal position is the same event. An older one comes from a page that lags
     // behind the removal.
-    if (revision > last) {
-      last = revision;
+    if (position > last) {
+      last = position;
       mEffective.insert(dataCentre);
     }
   }
-  mReadRevision = std::max(mReadRevision, aRevision);
+  mReadPosition = std::max(mReadPosition, aPosition);
   return mEffective != before;
 }
 
--- a/src/wasabispar/routing/evacuation_test.cpp
+++ b/src/wasabispar/routing/evacuation_test.cpp
@@ -14,6 +14,13 @@
 const DataCentreId kA("a");
 const DataCentreId kB("b");
 
+/// A position in a registry that states no era.
+RegistryPosition
+At(std::uint64_t aRevision)
+{
+  return { RegistryEra(), Revision(aRevision) };
+}
+
 /// A change of the key of one data centre; its revision is its position plus one.
 struct Change
 {
@@ -22,14 +29,14 @@
 };
 
 /// The keys of the store after the first @p aRevision changes.
-std::map<DataCentreId, Revision>
+std::map<DataCentreId, RegistryPosition>
 KeysAt(const std::vector<Change>& aHistory, std::size_t aRevision)
 {
-  std::map<DataCentreId, Revision> keys;
+  std::map<DataCentreId, RegistryPosition> keys;
   for (std::size_t i = 0; i < aRevision; ++i) {
     const auto& change = aHistory[i];
     if (change.mIsWritten) {
-      keys[change.mDataCentre] = Revision(i + 1);
+      keys[change.mDataCentre] = At(i + 1);
     } else {
       keys.erase(change.mDataCentre);
     }
@@ -43,17 +50,17 @@
 TEST_CASE("an older event changes nothing, and each change is reported once")
 {
   EvacuationState state;
-  CHECK(state.OnWritten(kA, Revision(5)));
-  CHECK_FALSE(state.OnWritten(kA, Revision(5)));
-  CHECK_FALSE(state.OnRemoved(kA, Revision(4)));
+  CHECK(state.OnWritten(kA, At(5)));
+  CHECK_FALSE(state.OnWritten(kA, At(5)));
+  CHECK_FALSE(state.OnRemoved(kA, At(4)));
   CHECK(state.IsEvacuated(kA));
-  CHECK_FALSE(state.OnWritten(kA, Revision(6)));
-  CHECK_FALSE(state.OnRemoved(kA, Revision(5)));
-  CHECK(state.OnRemoved(kA, Revision(7)));
-  CHECK_FALSE(state.OnWritten(kA, Revision(6)));
+  CHECK_FALSE(state.OnWritten(kA, At(6)));
+  CHECK_FALSE(state.OnRemoved(kA, At(5)));
+  CHECK(state.OnRemoved(kA, At(7)));
+  CHECK_FALSE(state.OnWritten(kA, At(6)));
   CHECK(state.Effective().empty());
-  CHECK_FALSE(state.OnRemoved(kB, Revision(9)));
-  CHECK_FALSE(state.OnWritten(kB, Revision(8)));
+  CHECK_FALSE(state.OnRemoved(kB, At(9)));
+  CHECK_FALSE(state.OnWritten(kB, At(8)));
 }
 
 /// Guards against an evacuation that stays in force forever, because its removal was lost
@@ -61,23 +68,22 @@
 TEST_CASE("a full read ends the evacuations that it does not contain")
 {
   EvacuationState state;
-  CHECK(state.OnFullRead({ { kA, Revision(3) }, { kB, Revision(4) } }, Revision(5)));
+  CHECK(state.OnFullRead({ { kA, At(3) }, { kB, At(4) } }, At(5)));
   CHECK(state.Effective() == std::set{ kA, kB });
-  CHECK_FALSE(
-    state.OnFullRead({ { kA, Revision(3) }, { kB, Revision(4) } }, Revision(6)));
-  CHECK(state.OnFullRead({ { kB, Revision(4) } }, Revision(8)));
+  CHECK_FALSE(state.OnFullRead({ { kA, At(3) }, { kB, At(4) } }, At(6)));
+  CHECK(state.OnFullRead({ { kB, At(4) } }, At(8)));
   CHECK(state.Effective() == std::set{ kB });
-  CHECK_FALSE(state.OnWritten(kA, Revision(8)));
+  CHECK_FALSE(state.OnWritten(kA, At(8)));
 }
 
 /// Guards against pages of different age: one that lags behind an event does not undo it.
 TEST_CASE("a full read does not undo a newer event")
 {
   EvacuationState state;
-  state.OnWritten(kA, Revision(9));
-  state.OnWritten(kB, Revision(4));
-  state.OnRemoved(kB, Revision(8));
-  CHECK_FALSE(state.OnFullRead({ { kB, Revision(4) } }, Revision(7)));
+  state.OnWritten(kA, At(9));
+  state.OnWritten(kB, At(4));
+  state.OnRemoved(kB, At(8));
+  CHECK_FALSE(state.OnFullRead({ { kB, At(4) } }, At(7)));
   CHECK(state.Effective() == std::set{ kA });
 }
 
@@ -99,7 +105,7 @@
         // Each key is read from a page of its own age; the watch continues after the
         // oldest page.
         const auto lowest = *rc::gen::inRange(followed, history.size() + 1);
-        std::map<DataCentreId, Revision> read;
+        std::map<DataCentreId, RegistryPosition> read;
         for (const auto& dataCentre : dataCentres) {
           const auto page =
             KeysAt(history, *rc::gen::inRange(lowest, history.size() + 1));
@@ -107,7 +113,7 @@
             read.insert(*key);
           }
         }
-        state.OnFullRead(read, Revision(lowest));
+        state.OnFullRead(read, At(lowest));
         followed = lowest;
       }
       // The events of one answer, in any order and with some that are already known. At
@@ -125,8 +131,8 @@
         const auto& change = history[i];
         const auto before = state.Effective();
         const bool hasChanged = change.mIsWritten
-                                  ? state.OnWritten(change.mDataCentre, Revision(i + 1))
-                                  : state.OnRemoved(change.mDataCentre, Revision(i + 1));
+                                  ? state.OnWritten(change.mDataCentre, At(i + 1))
+                                  : state.OnRemoved(change.mDataCentre, At(i + 1));
         RC_ASSERT(hasChanged == (state.Effective() != before));
       }
       followed = std::max(followed, end);
@@ -137,3 +143,52 @@
     }
   }));
 }
+
+namespace {
+
+RegistryPosition
+At(std::uint64_t aEra, std::uint64_t aRevision)
+{
+  return { RegistryEra(aEra), Revision(aRevision) };
+}
+
+} // namespace
+
+/// Guards against requests to an evacuated data centre: the store was restored from a
+/// copy that is older than the evacuation, and gave its revision out again.
+TEST_CASE("an evacuation holds in a new era until its key is written or removed")
+{
+  EvacuationState state;
+  state.OnFullRead({}, At(1, 5));
+  CHECK(state.OnWritten(kA, At(1, 9)));
+  CHECK_FALSE(state.OnFullRead({}, At(2, 6)));
+  CHECK_FALSE(state.OnFullRead({}, At(3, 6)));
+  CHECK(state.IsEvacuated(kA));
+  CHECK_FALSE(state.OnWritten(kA, At(3, 7)));
+  CHECK(state.OnRemoved(kA, At(3, 8)));
+  CHECK_FALSE(state.IsEvacuated(kA));
+}
+
+/// Guards against an evacuation that a VM ignores, because it has seen a higher revision
+/// in an older era.
+TEST_CASE("the events of a new era count whatever their revisions are")
+{
+  EvacuationState state;
+  state.OnWritten(kA, At(1, 100));
+  state.OnRemoved(kA, At(1, 101));
+  CHECK(state.OnFullRead({ { kA, At(2, 50) } }, At(2, 60)));
+  CHECK_FALSE(state.OnRemoved(kA, At(1, 200)));
+  CHECK(state.OnRemoved(kA, At(2, 61)));
+  CHECK(state.OnWritten(kB, At(2, 62)));
+}
+
+/// Guards against an evacuation that stays in force for good: once its era wrote it, a
+/// full read ends it as before.
+TEST_CASE("a full read of the same era ends an evacuation that it does not contain")
+{
+  EvacuationState state;
+  state.OnWritten(kA, At(1, 9));
+  state.OnFullRead({ { kA, At(2, 7) } }, At(2, 8));
+  CHECK(state.OnFullRead({}, At(2, 9)));
+  CHECK_FALSE(state.IsEvacuated(kA));
+}
