Crash reports: a process adds to what earlier ones of its VM reported

Cause: FleetService passed no fact on whose origin is its own VM, so the restarted VM did not learn what it had reported. Its next report, of one crash, had the key of the one before and replaced it at the other VMs, which sent the request again.

Ruled out: the time to live of the entries (10 minutes), and the exchange of entries: the restarted VM receives its own with the first comparison of digests.

Change: the key of a report and the map of CrashLimiter name the process (VM and incarnation). FleetService passes on all facts that its process did not publish. This works because an incarnation is never used twice, so no report replaces one of another process. Tests name a reporter where they named a VM, and the expected key ends with the incarnation.

--- a/include/wasabispar/app/fleet_service.hpp
+++ b/include/wasabispar/app/fleet_service.hpp
@@ -20,6 +20,8 @@
 struct FleetServiceHooks
 {
   std::function<void(const MemberView&)> mOnView;
+  /// Called with each fact that this process did not publish, also with those of an
+  /// earlier process of this VM.
   std::function<void(const GossipEntry&)> mOnFact;
   std::function<void(Duration aGap)> mOnPause;
   /// A newer incarnation of this VM runs; this process must stop.
--- a/include/wasabispar/fleet/gossip_store.hpp
+++ b/include/wasabispar/fleet/gossip_store.hpp
@@ -70,7 +70,8 @@
 struct GossipActions
 {
   std::vector<OutgoingGossipPush> mOutgoing;
-  /// Entries that are new or replaced an older version.
+  /// Received entries that are new or replaced an older version. Those of this VM were
+  /// published by an earlier process of it.
   std::vector<GossipEntry> mChanged;
   /// Entries whose time to live has ended.
   std::vector<GossipEntry> mExpired;
--- a/include/wasabispar/gateway/crash_report_codec.hpp
+++ b/include/wasabispar/gateway/crash_report_codec.hpp
@@ -15,10 +15,16 @@
 /// received report.
 constexpr Duration kCrashReportTtl = CrashLimiterOptions().mMemory;
 
-/// @brief The key `request-crashes/<fingerprint in hexadecimal>/<VM>`. Each VM has a key
-/// of its own for a request, so that reports do not replace each other.
+/// @brief The key `request-crashes/<fingerprint>/<VM>/<incarnation>`, with numbers in
+/// hexadecimal. Each process has a key of its own for a request, so that reports do not
+/// replace each other.
 std::string
-CrashReportKey(RequestFingerprint aRequest, const VmId& aVm);
+CrashReportKey(RequestFingerprint aRequest, const CrashReporter& aReporter);
+
+/// @brief The process that published a report. VMs of older versions leave the
+/// incarnation out of the key.
+CrashReporter
+CrashReporterOf(const GossipEntry& aEntry);
 
 /// @brief The crashes, separated by commas, each as `<service>:<sent>:<lost>`, then `;`
 /// and the completion as `<service>:<completed>` if there is one. Services are
--- a/include/wasabispar/gateway/gateway.hpp
+++ b/include/wasabispar/gateway/gateway.hpp
@@ -138,7 +138,7 @@
   /// connection are placed again; running ones finish.
   void SetEvacuated(const std::set<DataCentreId>& aDataCentres);
   /// @brief Takes account of the upstreams that crashed at another VM with a request.
-  void OnCrashReport(const VmId& aVm, const RequestCrashReport& aReport);
+  void OnCrashReport(const CrashReporter& aReporter, const RequestCrashReport& aReport);
   /// @brief The evacuation of a data centre has ended; see
   /// ServicePool::OnEvacuationEnded().
   void OnEvacuationEnded(const DataCentreId& aDataCentre);
--- a/include/wasabispar/routing/crash_limiter.hpp
+++ b/include/wasabispar/routing/crash_limiter.hpp
@@ -44,8 +44,19 @@
   bool operator==(const RequestCompletion&) const = default;
 };
 
-/// @brief What one VM observed of a request that may crash upstreams. Replaces what the
-/// VM reported before.
+/// @brief One run of a VM's process, which reports the crashes that it observed. Those of
+/// an earlier run still count.
+struct CrashReporter
+{
+  VmId mVm;
+  /// 0 when it is unknown.
+  Incarnation mIncarnation;
+
+  auto operator<=>(const CrashReporter&) const = default;
+};
+
+/// @brief What one process observed of a request that may crash upstreams. Replaces what
+/// it reported before.
 struct RequestCrashReport
 {
   RequestFingerprint mFingerprint;
@@ -150,8 +161,9 @@
   /// @brief A new connection could not be opened.
   void OnConnectFailed(const UpstreamIncarnation& aUpstream, TimePoint aNow);
 
-  /// @brief Replaces what @p aVm reported about the request before.
-  void OnReport(const VmId& aVm, const RequestCrashReport& aReport, TimePoint aNow);
+  /// @brief Replaces what @p aReporter reported about the request before.
+  void OnReport(const CrashReporter& aReporter, const RequestCrashReport& aReport,
+                TimePoint aNow);
   /// @brief Forgets what has expired and returns what the other VMs must learn. Call it
   /// several times a second.
   std::vector<RequestCrashReport> Tick(TimePoint aNow);
@@ -184,9 +196,9 @@
   /// A request with which upstreams crashed.
   struct Suspect
   {
-    /// Crashes that this VM observed, and those that other VMs reported.
+    /// Crashes that this process observed, and those that others reported.
     RequestCrashes mObserved;
-    std::map<VmId, RequestCrashes> mReported;
+    std::map<CrashReporter, RequestCrashes> mReported;
     /// Last completion of a part at any VM. Crashes with copies that were sent before do
     /// not count for all parts together.
     std::optional<TimePoint> mCompletedAt;
--- a/src/wasabispar/app/fleet_service.cpp
+++ b/src/wasabispar/app/fleet_service.cpp
@@ -190,9 +190,7 @@
     mLink.SendTo(send.mAddress, std::move(send.mMessage));
   }
   for (const auto& fact : aActions.mChanged) {
-    if (fact.mOrigin != mContext.mSettings.mVm) {
-      mHooks.mOnFact(fact);
-    }
+    mHooks.mOnFact(fact);
   }
 }
 
--- a/src/wasabispar/fleet/gossip_store.cpp
+++ b/src/wasabispar/fleet/gossip_store.cpp
@@ -322,9 +322,9 @@
     return actions;
   }
   mState->mReportedExpired.erase(entry.mKey);
-  actions.mChanged.push_back(
-    State::WithRemainingTtl(mState->mEntries.find(entry.mKey)->second, aNow));
-  mState->Push(actions.mChanged, mState->mSelf, actions);
+  mState->Push(
+    { State::WithRemainingTtl(mState->mEntries.find(entry.mKey)->second, aNow) },
+    mState->mSelf, actions);
   return actions;
 }
 
--- a/src/wasabispar/gateway/crash_report_codec.cpp
+++ b/src/wasabispar/gateway/crash_report_codec.cpp
@@ -13,6 +13,9 @@
 namespace {
 
 constexpr std::string_view kKeyPrefix = "request-crashes/";
+constexpr char kKeySeparator = '/';
+/// Fields of a key, the prefix included.
+constexpr std::size_t kKeyFields = 4;
 constexpr int kHexBase = 16;
 constexpr int kDecimalBase = 10;
 /// Digits of a 64-bit number.
@@ -132,9 +135,20 @@
 } // namespace
 
 std::string
-CrashReportKey(RequestFingerprint aRequest, const VmId& aVm)
+CrashReportKey(RequestFingerprint aRequest, const CrashReporter& aReporter)
 {
-  return std::string(kKeyPrefix) + ToHex(aRequest.Value()) + "/" + aVm.Text();
+  return std::string(kKeyPrefix) + ToHex(aRequest.Value()) + kKeySeparator +
+         aReporter.mVm.Text() + kKeySeparator + ToHex(aReporter.mIncarnation.Value());
+}
+
+CrashReporter
+CrashReporterOf(const GossipEntry& aEntry)
+{
+  const auto fields = Split(aEntry.mKey, kKeySeparator);
+  const auto incarnation = fields.size() == kKeyFields
+                             ? ParseNumber<std::uint64_t>(fields.back(), kHexBase)
+                             : std::nullopt;
+  return { aEntry.mOrigin, Incarnation(incarnation.value_or(0)) };
 }
 
 std::string
@@ -164,7 +178,8 @@
     return std::nullopt;
   }
   key.remove_prefix(kKeyPrefix.size());
-  const auto request = ParseNumber<std::uint64_t>(key.substr(0, key.find('/')), kHexBase);
+  const auto request =
+    ParseNumber<std::uint64_t>(key.substr(0, key.find(kKeySeparator)), kHexBase);
   const auto parts = Split(aEntry.mValue, kCompletionSeparator);
   if (!request || parts.size() != 2) {
     return std::nullopt;
--- a/src/wasabispar/gateway/gateway.cpp
+++ b/src/wasabispar/gateway/gateway.cpp
@@ -317,13 +317,13 @@
 }
 
 void
-Gateway::OnCrashReport(const VmId& aVm, const RequestCrashReport& aReport)
+Gateway::OnCrashReport(const CrashReporter& aReporter, const RequestCrashReport& aReport)
 {
   const auto now = BootClock::now();
-  mCrashLimiter.OnReport(aVm, aReport, now);
+  mCrashLimiter.OnReport(aReporter, aReport, now);
   const auto crashes = mCrashLimiter.SuccessiveCrashes(aReport.mFingerprint, now);
   LogEvent(LogLevel::Info, "request-crashes-reported",
-           { { "vm", aVm.Text() },
+           { { "vm", aReporter.mVm.Text() },
              { "fingerprint", aReport.mFingerprint.Value() },
              { "reported", std::uint64_t{ aReport.mCrashes.size() } },
              { "crashes", std::uint64_t{ crashes } } });
--- a/src/wasabispar/routing/crash_limiter.cpp
+++ b/src/wasabispar/routing/crash_limiter.cpp
@@ -127,7 +127,7 @@
 {
   const bool isKnownElsewhere = aSuspect.mWasPublished || !aSuspect.mReported.empty();
   EraseCrashes(aSuspect.mObserved, aCompletion);
-  for (auto& [vm, crashes] : aSuspect.mReported) {
+  for (auto& [reporter, crashes] : aSuspect.mReported) {
     EraseCrashes(crashes, aCompletion);
   }
   aSuspect.mCompletedAt = aCompletion.mAt;
@@ -194,14 +194,15 @@
 }
 
 void
-CrashLimiter::OnReport(const VmId& aVm, const RequestCrashReport& aReport, TimePoint aNow)
+CrashLimiter::OnReport(const CrashReporter& aReporter, const RequestCrashReport& aReport,
+                       TimePoint aNow)
 {
   const auto known = mSuspects.find(aReport.mFingerprint);
   if (known == mSuspects.end() && aReport.mCrashes.empty()) {
     return;
   }
   auto& suspect = MakeSuspect(aReport.mFingerprint, aNow);
-  suspect.mReported[aVm] = aReport.mCrashes;
+  suspect.mReported[aReporter] = aReport.mCrashes;
   if (!aReport.mCrashes.empty()) {
     suspect.mLastCrashAt = aNow;
   }
@@ -216,7 +217,7 @@
 {
   const auto observed = aSuspect.mObserved.size();
   EraseCrashes(aSuspect.mObserved, aCompletion);
-  for (auto& [vm, crashes] : aSuspect.mReported) {
+  for (auto& [reporter, crashes] : aSuspect.mReported) {
     EraseCrashes(crashes, aCompletion);
   }
   aSuspect.mCompletedAt = std::max(aSuspect.mCompletedAt, std::optional(aCompletion.mAt));
@@ -275,7 +276,7 @@
 CrashLimiter::AllCrashes(const Suspect& aSuspect)
 {
   auto all = aSuspect.mObserved;
-  for (const auto& [vm, crashes] : aSuspect.mReported) {
+  for (const auto& [reporter, crashes] : aSuspect.mReported) {
     all.insert(all.end(), crashes.begin(), crashes.end());
   }
   return all;
--- a/src/wasabispar/routing/crash_limiter_fleet_test.cpp
+++ b/src/wasabispar/routing/crash_limiter_fleet_test.cpp
@@ -205,8 +205,8 @@
   {
     for (int vm = 0; vm < kVms; ++vm) {
       if (vm != aFrom) {
-        mLimiters[static_cast<std::size_t>(vm)].OnReport(VmId(std::to_string(aFrom)),
-                                                         aReport, mNow);
+        mLimiters[static_cast<std::size_t>(vm)].OnReport(
+          { VmId(std::to_string(aFrom)), wasabispar::Incarnation(1) }, aReport, mNow);
       }
     }
   }
--- a/src/wasabispar/routing/crash_limiter_test.cpp
+++ b/src/wasabispar/routing/crash_limiter_test.cpp
@@ -15,7 +15,7 @@
 const TimePoint kNow{ 1000s };
 const RequestPart kRequest{ RequestFingerprint(7), ServiceFingerprint(1) };
 const RequestPart kOtherPart{ kRequest.mRequest, ServiceFingerprint(2) };
-const VmId kOtherVm{ "10.0.0.2" };
+const CrashReporter kOtherVm{ VmId("10.0.0.2"), Incarnation(1) };
 
 UpstreamIncarnation
 Upstream(int aNumber)
@@ -226,7 +226,7 @@
 TEST_CASE_FIXTURE(LimiterFixture, "crashes at several VMs add up")
 {
   mLimiter.OnReport(kOtherVm, Report(1, kNow - 2s), kNow - 1s);
-  mLimiter.OnReport(VmId("10.0.0.3"), Report(1, kNow - 1s), kNow);
+  mLimiter.OnReport({ VmId("10.0.0.3"), Incarnation(1) }, Report(1, kNow - 1s), kNow);
   CHECK(MaySend());
   Crash(1);
   CHECK_FALSE(MaySend());
@@ -358,7 +358,7 @@
   CrashLimiter other;
   other.OnReport(kOtherVm, Report(2), kNow);
   CHECK(other.MaySend(kRequest, kNow));
-  other.OnReport(VmId("10.0.0.3"), reports.front(), kNow);
+  other.OnReport({ VmId("10.0.0.3"), Incarnation(1) }, reports.front(), kNow);
   CHECK_FALSE(other.MaySend(kRequest, kNow));
 }
 
--- a/tests/gateway/crash_report_codec_test.cpp
+++ b/tests/gateway/crash_report_codec_test.cpp
@@ -14,6 +14,7 @@
 constexpr TimePoint kNow{ 5000s };
 const RequestFingerprint kRequest{ 0xfedcba9876543210 };
 const ServiceFingerprint kService{ 0xffffffffffffffff };
+const CrashReporter kReporter{ VmId("vm"), Incarnation(1) };
 
 /// An entry as it was published @p aAge ago.
 GossipEntry
@@ -36,8 +37,8 @@
 
 TEST_CASE("a report of crashes is the same after it was sent")
 {
-  const auto key = CrashReportKey(kRequest, VmId("10.0.0.1"));
-  CHECK(key == "request-crashes/fedcba9876543210/10.0.0.1");
+  const auto key = CrashReportKey(kRequest, { VmId("10.0.0.1"), Incarnation(255) });
+  CHECK(key == "request-crashes/fedcba9876543210/10.0.0.1/ff");
   const RequestCompletion completion{ kService, kNow - 3s };
   for (const auto& report :
        { RequestCrashReport{ kRequest, { Crash(2500ms, 2450ms), Crash(900ms, 1ms) }, {} },
@@ -48,12 +49,24 @@
   }
 }
 
+TEST_CASE("the process that published a report follows from its entry")
+{
+  auto entry = Entry(CrashReportKey(kRequest, kReporter), ";");
+  entry.mOrigin = kReporter.mVm;
+  CHECK(CrashReporterOf(entry) == kReporter);
+  // A VM of an older version.
+  entry.mKey = "request-crashes/7/vm";
+  CHECK(CrashReporterOf(entry) == CrashReporter{ kReporter.mVm, Incarnation() });
+  entry.mKey = "request-crashes/7/vm/x";
+  CHECK(CrashReporterOf(entry) == CrashReporter{ kReporter.mVm, Incarnation() });
+}
+
 /// Guards against crashes that seem to overlap, because a VM learned of all of them at
 /// once, long after they had happened.
 TEST_CASE("the time that a report was on its way counts")
 {
   const RequestCrashReport report{ kRequest, { Crash(20300ms, 20200ms) }, {} };
-  const auto entry = Entry(CrashReportKey(kRequest, VmId("vm")),
+  const auto entry = Entry(CrashReportKey(kRequest, kReporter),
                            EncodeCrashReport(report, kNow - 20s), 20s);
   CHECK(DecodeCrashReport(entry, kNow) == report);
 }
@@ -68,7 +81,7 @@
   const auto value = EncodeCrashReport(report, kNow);
   CHECK(value.size() <= GossipStoreOptions().mMaxValueBytes);
   const auto decoded =
-    DecodeCrashReport(Entry(CrashReportKey(kRequest, VmId("vm")), value), kNow);
+    DecodeCrashReport(Entry(CrashReportKey(kRequest, kReporter), value), kNow);
   REQUIRE(decoded);
   CHECK(CountSuccessiveCrashes(decoded->mCrashes) >= 3);
   CHECK(decoded->mCrashes.back() == Crash(5050ms, 5s));
