Gossip store: entries of dead members are accepted from peers

Change: besides peers, dead members of the data centre count as origins; a VM that joins learns of them with the members. Entries of strangers are rejected as before. The fake fleet sets the peers before it passes entries on, as FleetService does, and forgets the view of a VM that restarts.

--- a/include/wasabispar/fleet/gossip_store.hpp
+++ b/include/wasabispar/fleet/gossip_store.hpp
@@ -90,7 +90,7 @@
   std::uint64_t mSenderLimited = 0;
   /// Rejected, as the origin has too many entries or the store is full.
   std::uint64_t mOriginLimited = 0;
-  /// Rejected: the origin is neither a peer nor this VM, or the sender is no peer.
+  /// Rejected: the origin is no member of the data centre, or the sender is no peer.
   std::uint64_t mUnknownOrigin = 0;
   /// Evicted from the origin with the most entries to store an entry of another origin.
   std::uint64_t mEvicted = 0;
@@ -106,9 +106,10 @@
   ~GossipStore();
 
   /// @brief Sets the peers: the members of the own data centre without this VM. Entries
-  /// are rejected if their origin is neither a peer nor this VM, or if their sender is
-  /// not a peer.
-  void SetPeers(std::vector<GossipPeer> aPeers);
+  /// are rejected if their sender is not a peer, or if their origin is neither a peer,
+  /// nor this VM, nor one of @p aDeadMembers, whose entries the peers still hold.
+  void SetPeers(std::vector<GossipPeer> aPeers,
+                const std::vector<VmId>& aDeadMembers = {});
   /// @brief Publishes an entry of this VM. Does nothing if the stored version of the key
   /// is the same or higher, @p aTtl is below 1 ms or a limit is exceeded.
   GossipActions Publish(std::string aKey, std::uint64_t aVersion, std::string aValue,
--- a/include/wasabispar/fleet/member.hpp
+++ b/include/wasabispar/fleet/member.hpp
@@ -113,6 +113,8 @@
 
   /// @brief The member with this id; null if there is none.
   const Member* Find(const VmId& aVm) const;
+  /// @brief The dead members of the own data centre, sorted by id.
+  std::vector<VmId> LocalDead() const;
 };
 
 } // namespace wasabispar
--- a/src/wasabispar/app/fleet_service.cpp
+++ b/src/wasabispar/app/fleet_service.cpp
@@ -179,7 +179,7 @@
       peers.push_back({ vm, view->Find(vm)->mIdentity.mAddress });
     }
   }
-  mGossip.SetPeers(std::move(peers));
+  mGossip.SetPeers(std::move(peers), view->LocalDead());
   mHooks.mOnView(*view);
 }
 
--- a/src/wasabispar/fleet/gossip_store.cpp
+++ b/src/wasabispar/fleet/gossip_store.cpp
@@ -155,9 +155,9 @@
     return true;
   }
 
-  bool IsSelfOrPeer(const VmId& aVm) const
+  bool IsMember(const VmId& aVm) const
   {
-    return aVm == mSelf || mPeerIds.contains(aVm);
+    return aVm == mSelf || mPeerIds.contains(aVm) || mDeadMembers.contains(aVm);
   }
 
   bool TakeToken(const VmId& aSender, TimePoint aNow)
@@ -189,7 +189,7 @@
       ++mCounters.mInvalidSize;
       return false;
     }
-    if (!IsSelfOrPeer(aEntry.mOrigin)) {
+    if (!IsMember(aEntry.mOrigin)) {
       ++mCounters.mUnknownOrigin;
       return false;
     }
@@ -269,6 +269,7 @@
   RandomFn mRandom;
   std::vector<GossipPeer> mPeers;
   std::set<VmId> mPeerIds;
+  std::set<VmId> mDeadMembers;
   /// Entries by key; an expired entry stays for mExpiredRetention.
   std::map<std::string, StoredEntry, std::less<>> mEntries;
   /// Keys of mEntries by the origin of the entry; holds only origins with a key.
@@ -293,9 +294,11 @@
 GossipStore::~GossipStore() = default;
 
 void
-GossipStore::SetPeers(std::vector<GossipPeer> aPeers)
+GossipStore::SetPeers(std::vector<GossipPeer> aPeers,
+                      const std::vector<VmId>& aDeadMembers)
 {
   const std::lock_guard lock(mState->mMutex);
+  mState->mDeadMembers = { aDeadMembers.begin(), aDeadMembers.end() };
   std::erase_if(aPeers, [&](const auto& aPeer) { return aPeer.mVm == mState->mSelf; });
   mState->mPeers = std::move(aPeers);
   mState->mPeerIds.clear();
--- a/src/wasabispar/fleet/gossip_store_test.cpp
+++ b/src/wasabispar/fleet/gossip_store_test.cpp
@@ -137,3 +137,28 @@
   });
   CHECK(isOk);
 }
+
+/// Guards against a VM that restarts and does not learn what a VM reported that is down
+/// by now: a request that the others block would crash upstreams again.
+TEST_CASE("a VM that starts learns the entries of a member that is dead")
+{
+  FakeFleet fleet(4);
+  for (const auto* vm : { "vm-0", "vm-1", "vm-2", "vm-3" }) {
+    fleet.Add(vm, "dc");
+  }
+  fleet.DeliverListToAll();
+  fleet.Run(5s);
+  fleet.Publish(fleet.At("vm-0"), "request-crashes/7", 1, 600s);
+  fleet.Run(2s);
+  REQUIRE(fleet.CountVmsWithEntry("request-crashes/7") == 4);
+  fleet.Kill("vm-0");
+  fleet.Run(30s);
+  REQUIRE(fleet.StateAt("vm-1", "vm-0") == MemberState::Dead);
+  fleet.Kill("vm-3");
+  fleet.Run(1s);
+  auto& restarted = fleet.Add("vm-3", "dc", 2);
+  // The seeds name a VM that is up.
+  fleet.DeliverList(restarted, { { fleet.At("vm-1").mIdentity, ListedState::Live } });
+  fleet.Run(15s);
+  CHECK(fleet.CountVmsWithEntry("request-crashes/7") == 3);
+}
--- a/src/wasabispar/fleet/member.cpp
+++ b/src/wasabispar/fleet/member.cpp
@@ -29,4 +29,18 @@
   return found == mMembers.end() ? nullptr : &found->second;
 }
 
+std::vector<VmId>
+MemberView::LocalDead() const
+{
+  std::vector<VmId> dead;
+  const auto* self = Find(mSelf);
+  for (const auto& [vm, member] : mMembers) {
+    if (self && member.mState == MemberState::Dead &&
+        member.mIdentity.mDataCentre == self->mIdentity.mDataCentre) {
+      dead.push_back(vm);
+    }
+  }
+  return dead;
+}
+
 } // namespace wasabispar
--- a/tests/fleet_fake.hpp
+++ b/tests/fleet_fake.hpp
@@ -71,6 +71,7 @@
     vm.mGossipStore = std::make_unique<GossipStore>(
       vm.mIdentity.mVm, GossipStoreOptions{}, SeededRandom(mRandom(1U << 30U)));
     vm.mIsRunning = true;
+    mPeerViews.erase(vm.mIdentity.mVm);
     vm.mTickOffset = std::chrono::milliseconds(mRandom(50));
     return vm;
   }
@@ -282,7 +283,7 @@
     for (const auto& vm : view->mLocalLive) {
       peers.push_back({ vm, view->Find(vm)->mIdentity.mAddress });
     }
-    aVm.mGossipStore->SetPeers(std::move(peers));
+    aVm.mGossipStore->SetPeers(std::move(peers), view->LocalDead());
   }
 
   void Deliver(const Delivery& aDelivery)
@@ -302,6 +303,8 @@
     const auto& message = aDelivery.mMessage;
     auto actions =
       vm.mMembership->OnMessage(aDelivery.mFrom, aDelivery.mIncarnation, message, mNow);
+    // As FleetService does: a new sender must be a peer before its entries are taken.
+    UpdateGossipPeers(vm);
     if (const auto* ping = std::get_if<PingMessage>(&message)) {
       SendGossip(vm, vm.mGossipStore->OnGossip(aDelivery.mFrom, ping->mGossip, mNow));
     } else if (const auto* ack = std::get_if<AckMessage>(&message)) {
