Upstream directory: each return of the registry restarts the time to lapse

Cause: an entry that is held back after the registry's return from a copy was used 10 s after the first of two returns, although the entry of an upstream that has left lapses only after the second one. Found by reading the diff. Change: the entry is held back anew in each era; it leaves the held entries before it is applied.

--- a/src/wasabispar/routing/upstream_directory.cpp
+++ b/src/wasabispar/routing/upstream_directory.cpp
@@ -91,7 +91,12 @@
   }
   const auto& id = aEntry.mRecord.mId;
   if (IsRemovalKnown(id)) {
-    mHeldEntries.try_emplace(id, HeldEntry{ aEntry, aNow + kLapseTime });
+    const auto held = mHeldEntries.find(id);
+    const bool isHeld = held != mHeldEntries.end() &&
+                        held->second.mEntry.mPosition.mEra == aEntry.mPosition.mEra;
+    if (!isHeld) {
+      mHeldEntries[id] = { aEntry, aNow + kLapseTime };
+    }
     return {};
   }
   const auto& known = mUpstreams.at(id);
@@ -247,10 +252,10 @@
     }
   }
   for (auto next = mHeldEntries.begin(); next != mHeldEntries.end();) {
-    // Upsert() invalidates the iterator.
     const auto current = next++;
     if (current->second.mUsedAt <= aNow) {
       const auto entry = current->second.mEntry;
+      mHeldEntries.erase(current);
       const auto applied = Upsert(entry);
       changes.insert(changes.end(), applied.begin(), applied.end());
     }
--- a/src/wasabispar/routing/upstream_directory_test.cpp
+++ b/src/wasabispar/routing/upstream_directory_test.cpp
@@ -426,3 +426,15 @@
   again.mWarmup = WarmupNotice{ 1s, At(2, 107) };
   CHECK(directory.Upsert({ again, At(2, 107), 8 }).size() == 1);
 }
+
+/// Guards against requests to an upstream that has left: the registry was restored a
+/// second time, and the entry had less time to lapse.
+TEST_CASE("an entry that is held back has the time to lapse after each return")
+{
+  auto directory = DirectoryOfEra();
+  directory.Remove({ { kId, At(1, 108) } }, kNow, kNow);
+  CHECK(Read(directory, { RecordOf("u0"), At(2, 107), 7 }).empty());
+  CHECK(Read(directory, { RecordOf("u0"), At(3, 107), 7 }, kNow + 8s).empty());
+  CHECK(directory.Tick(kNow + 17s).empty());
+  CHECK(directory.Tick(kNow + 18s).size() == 1);
+}
