Known red: crashes that a completion cleared count again at a VM that starts

Cause: CrashLimiter drops a completion of a request that it does not know, and reports of earlier processes stay since. A VM that starts and reads the completion first counts the crashes.

--- a/tests/gateway/crash_report_gossip_test.cpp
+++ b/tests/gateway/crash_report_gossip_test.cpp
@@ -86,6 +86,22 @@
       Publish(process, report);
     }
   }
+  /// The request completes at the VM, which reports it to the others.
+  void Complete(std::size_t aVm)
+  {
+    mNow += 2s;
+    auto& process = *mProcesses[aVm];
+    const UpstreamIncarnation upstream{ UpstreamId("u"), ++mUpstreamStarts };
+    process.mLimiter.OnSent(mUpstreamStarts, kPart, upstream, mNow);
+    process.mLimiter.OnCompleted(mUpstreamStarts, mNow);
+    for (const auto& report : process.mLimiter.Tick(mNow)) {
+      Publish(process, report);
+    }
+  }
+  std::uint32_t Crashes(std::size_t aVm) const
+  {
+    return mProcesses[aVm]->mLimiter.SuccessiveCrashes(kPart.mRequest, mNow);
+  }
   bool MaySend(std::size_t aVm) const
   {
     return mProcesses[aVm]->mLimiter.MaySend(kPart, mNow);
@@ -162,3 +178,19 @@
     CHECK_FALSE(fleet.MaySend(vm));
   }
 }
+
+/// Guards against a request that is blocked too early: a VM that starts counts crashes
+/// that a completion had cleared, because their reporter restarted meanwhile.
+TEST_CASE("a completion clears earlier crashes at a VM that starts later")
+{
+  Fleet fleet;
+  fleet.Crash(1);
+  fleet.Crash(1);
+  fleet.Restart(1);
+  fleet.Exchange(2, 1);
+  fleet.Complete(0);
+  CHECK(fleet.Crashes(2) == 0);
+  fleet.Restart(2);
+  fleet.Exchange(0, 2);
+  CHECK(fleet.Crashes(2) == 0);
+}
